--- /dev/null
+++ b/src/bookkeeping/records.rs
@@ -0,0 +1,166 @@
+//! Durable records: keys and values on the state service.
+//!
+//! | key | value | written by |
+//! | --- | --- | --- |
+//! | `lead` | the leader's name and baton, on its lease | the leader |
+//! | `baton` | the last baton given out | a new leader |
+//! | `catalog` | machine types last seen | the leader |
+//! | `o/JOB` | an open job; never rewritten, so its stamp stands for "still open" | whoever accepts |
+//! | `f/JOB` | the finish mark, kept for ever | whoever cancels; the leader when done |
+//! | `p/JOB/N` | done tasks of one chunk, a bit each | the leader |
+//! | `m/HOST` | launch intents: every start that may be on the machine | the leader |
+
+use crate::ids::{Baton, HostId, JobId, PieceId, Rig, Site, Try};
+use crate::protocol::users::{JobPhase, JobSpec};
+use base64::engine::general_purpose::STANDARD_NO_PAD;
+use base64::Engine;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// The leader key.
+pub const LEAD: &str = "lead";
+/// The counter of batons.
+pub const BATON: &str = "baton";
+/// Machine types, so that a controller can judge submissions while the cloud is down.
+pub const CATALOG: &str = "catalog";
+/// Prefix of open jobs.
+pub const OPEN: &str = "o/";
+/// Prefix of finish marks.
+pub const FINAL: &str = "f/";
+/// Prefix of progress.
+pub const PROGRESS: &str = "p/";
+/// Prefix of launch intents.
+pub const INTENTS: &str = "m/";
+
+/// Tasks in one progress record. 683 characters of base64: within the smallest value limit.
+pub const CHUNK: u32 = 4096;
+
+/// Key of an open job.
+pub fn open_key(id: &JobId) -> String {
+    format!("{OPEN}{id}")
+}
+/// Key of a finish mark.
+pub fn final_key(id: &JobId) -> String {
+    format!("{FINAL}{id}")
+}
+/// Key of a progress chunk.
+pub fn progress_key(id: &JobId, chunk: u32) -> String {
+    format!("{PROGRESS}{id}/{chunk}")
+}
+/// Reads a progress key back.
+pub fn parse_progress_key(key: &str) -> Option<(JobId, u32)> {
+    let (job, chunk) = key.strip_prefix(PROGRESS)?.rsplit_once('/')?;
+    Some((JobId::parse(job)?, chunk.parse().ok()?))
+}
+/// Key of a machine's intents.
+pub fn intents_key(id: &HostId) -> String {
+    format!("{INTENTS}{id}")
+}
+
+/// Who leads.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct LeadRecord {
+    pub host_name: String,
+    pub baton: Baton,
+}
+
+/// An accepted job that is neither done nor cancelled.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OpenRecord {
+    pub spec: JobSpec,
+    /// Time of day of the acceptance, in milliseconds; only for deadlines, never for safety.
+    pub at_ms: u64,
+    /// Producers whose finish this job waits for. The users' protocol carries none today.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub after: Vec<JobId>,
+}
+
+/// The finish mark. Keeps the job's description: tasks of a cancelled job still count for their
+/// team until they are gone, and a new leader must know what they use.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct FinalRecord {
+    pub phase: JobPhase,
+    pub spec: JobSpec,
+}
+
+/// Every start that may be on one machine, and what is needed to reach it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct IntentRecord {
+    pub rig: Rig,
+    pub site: Site,
+    pub spot: bool,
+    /// Job -> (task, try).
+    pub tasks: BTreeMap<JobId, Vec<(u32, Try)>>,
+}
+
+impl IntentRecord {
+    /// The starts, flat.
+    pub fn starts(&self) -> impl Iterator<Item = (PieceId, Try)> + '_ {
+        self.tasks.iter().flat_map(|(job, list)| {
+            list.iter().map(|(index, attempt)| {
+                let piece = PieceId {
+                    job: job.clone(),
+                    index: *index,
+                };
+                (piece, *attempt)
+            })
+        })
+    }
+}
+
+/// A set of task numbers, a bit each.
+#[derive(Clone, Debug, Default)]
+pub struct DoneSet {
+    bits: Vec<u8>,
+    count: u32,
+}
+
+impl DoneSet {
+    /// An empty set with room for `n`.
+    pub fn new(n: u32) -> Self {
+        DoneSet {
+            bits: vec![0; (n as usize).div_ceil(8)],
+            count: 0,
+        }
+    }
+    /// Whether the task is in.
+    pub fn has(&self, i: u32) -> bool {
+        self.bits
+            .get(i as usize / 8)
+            .is_some_and(|b| b & (1 << (i % 8)) != 0)
+    }
+    /// Adds a task; true if it was new. Numbers out of range are ignored.
+    pub fn add(&mut self, i: u32) -> bool {
+        let Some(b) = self.bits.get_mut(i as usize / 8) else {
+            return false;
+        };
+        let mask = 1 << (i % 8);
+        let new = *b & mask == 0;
+        *b |= mask;
+        self.count += u32::from(new);
+        new
+    }
+    /// How many are in.
+    pub fn count(&self) -> u32 {
+        self.count
+    }
+    /// One chunk as text.
+    pub fn chunk(&self, chunk: u32) -> String {
+        let from = (chunk * CHUNK / 8) as usize;
+        let to = (from + CHUNK as usize / 8).min(self.bits.len());
+        STANDARD_NO_PAD.encode(self.bits.get(from..to).unwrap_or(&[]))
+    }
+    /// Takes in one chunk.
+    pub fn load(&mut self, chunk: u32, text: &str) {
+        let Ok(bytes) = STANDARD_NO_PAD.decode(text) else {
+            return;
+        };
+        for (i, byte) in bytes.iter().enumerate() {
+            for bit in 0..8 {
+                if byte & (1 << bit) != 0 {
+                    self.add(chunk * CHUNK + i as u32 * 8 + bit);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet.rs
@@ -0,0 +1,398 @@
+//! The fleet: what to rent, what to return, which machines are given up.
+
+use super::placement::Unmet;
+use super::{Core, Effect};
+use crate::bookkeeping::ledger::{Amount, Machine, Standing};
+use crate::ids::{HostId, Millis, Rig, Site, Stamp};
+use crate::protocol::cloud::{CloudHost, CloudPhase};
+use crate::protocol::users::JobSpec;
+use crate::transport::budget::Budget;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What can be rented: type, zone and whether spot.
+pub type Kind = (Rig, Site, bool);
+
+/// A rental under way.
+#[derive(Debug, Clone)]
+struct Hire {
+    kind: Kind,
+    count: u32,
+    asked: Millis,
+    /// None: an answer is awaited. Otherwise: asked again then, under the same name.
+    again_at: Option<Millis>,
+}
+
+/// The fleet's memory.
+#[derive(Debug)]
+pub struct Fleet {
+    hires: BTreeMap<String, Hire>,
+    hired: u64,
+    /// Refused for want of capacity: not asked again before, and the wait that led there.
+    refused: BTreeMap<Kind, (Millis, Millis)>,
+    /// Returns that failed: not tried again before.
+    return_after: Millis,
+    calls: Budget,
+}
+
+impl Fleet {
+    /// An empty memory; calls are kept within a part of the cloud's rate.
+    pub fn new(cloud_rps: f64) -> Fleet {
+        Fleet {
+            hires: BTreeMap::new(),
+            hired: 0,
+            refused: BTreeMap::new(),
+            return_after: Millis(0),
+            calls: Budget::new(cloud_rps * 0.6, cloud_rps * 0.6),
+        }
+    }
+}
+
+/// The most one rental may ask for, by the protocol.
+const MOST_PER_HIRE: u32 = 50;
+/// The most names in one return, by the protocol.
+const MOST_PER_RETURN: usize = 100;
+/// Waits after a refusal.
+const REFUSED: (Millis, Millis) = (Millis(8_000), Millis(40_000));
+/// An unclear rental is asked again after this, and given up after that: its machines, if any,
+/// show up in the list and in their workers' reports.
+const HIRE_AGAIN: Millis = Millis(1_500);
+const HIRE_GIVEN_UP: Millis = Millis(90_000);
+/// A booting machine counts as coming for this many boot times, and is given up after that many
+/// (plus a fixed time, for types that boot in a moment).
+const COMING_BOOTS: f64 = 2.0;
+const DEAD_BOOTS: f64 = 4.0;
+const DEAD_PLUS_S: f64 = 20.0;
+/// A machine being emptied is returned after this even if something on it doesn't end.
+const DRAIN_PATIENCE: Millis = Millis(20_000);
+/// Tasks considered for renting in one pass.
+const MOST_CONSIDERED: u32 = 600;
+
+/// Room that is coming.
+struct Bin {
+    kind: Kind,
+    room: Amount,
+}
+
+impl Core {
+    fn boot_s(&self, rig: &Rig) -> f64 {
+        self.rigs.get(rig).map_or(30.0, |r| r.boot_s)
+    }
+
+    /// Returns what isn't needed or is given up, rents what is missing.
+    pub(crate) fn size_fleet(&mut self, now: Millis, unmet: Vec<Unmet>) {
+        self.repeat_hires(now);
+        let wanted = self.rent(now, &unmet);
+        self.return_machines(now, wanted);
+    }
+
+    fn repeat_hires(&mut self, now: Millis) {
+        self.fleet
+            .hires
+            .retain(|_, h| now - h.asked < HIRE_GIVEN_UP);
+        let due: Vec<String> = self
+            .fleet
+            .hires
+            .iter()
+            .filter(|(_, h)| h.again_at.is_some_and(|t| t <= now))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in due {
+            if !self.fleet.calls.take(now, 1.0) {
+                return;
+            }
+            if let Some(h) = self.fleet.hires.get_mut(&name) {
+                h.again_at = None;
+                let (rig, site, spot) = h.kind.clone();
+                self.effects.push(Effect::Rent {
+                    hire: name,
+                    rig,
+                    site,
+                    spot,
+                    count: h.count,
+                });
+            }
+        }
+    }
+
+    /// Rents for what could not be placed. True if something is still waiting for machines.
+    fn rent(&mut self, now: Millis, unmet: &[Unmet]) -> bool {
+        let mut bins: Vec<Bin> =
+            self.machines
+                .values()
+                .filter(|m| m.standing == Standing::Booting && !m.drain)
+                .filter(|m| (now - m.since).secs() < self.boot_s(&m.rig) * COMING_BOOTS)
+                .map(|m| (m.rig.clone(), m.site.clone(), m.spot))
+                .chain(
+                    self.fleet.hires.values().flat_map(|h| {
+                        std::iter::repeat_with(|| h.kind.clone()).take(h.count as usize)
+                    }),
+                )
+                .map(|kind| Bin {
+                    room: self.capacity(&kind.0),
+                    kind,
+                })
+                .collect();
+        let coming = bins.len();
+        let mut used = self.usage();
+        let mut considered = 0;
+        for u in unmet {
+            let Some(job) = self.jobs.get(&u.job) else {
+                continue;
+            };
+            let spec = &job.spec;
+            let need = Amount::of(spec);
+            let mut left = u.count.min(self.headroom(spec, &used));
+            while left > 0 && considered < MOST_CONSIDERED {
+                considered += 1;
+                let found = bins
+                    .iter()
+                    .position(|b| Self::kind_allowed(spec, &b.kind) && need.fits(&b.room));
+                let at = match found {
+                    Some(at) => at,
+                    None => {
+                        let Some(kind) = self.choose_kind(now, spec, left) else {
+                            break;
+                        };
+                        bins.push(Bin {
+                            room: self.capacity(&kind.0),
+                            kind,
+                        });
+                        bins.len() - 1
+                    }
+                };
+                bins[at].room.sub(&need);
+                used.entry(spec.team.clone()).or_default().add(&need);
+                left -= 1;
+            }
+        }
+        let mut wanted: BTreeMap<Kind, u32> = BTreeMap::new();
+        for b in bins.drain(coming..) {
+            *wanted.entry(b.kind).or_default() += 1;
+        }
+        for (kind, count) in wanted {
+            if !self.fleet.calls.take(now, 1.0) {
+                break;
+            }
+            self.hire(now, kind, count.min(MOST_PER_HIRE));
+        }
+        considered > 0
+    }
+
+    fn hire(&mut self, now: Millis, kind: Kind, count: u32) {
+        // Unique for ever: batons are, and so is the count within one.
+        self.fleet.hired += 1;
+        let name = format!("r-{}-{}", self.baton, self.fleet.hired);
+        tracing::debug!(hire = %name, rig = %kind.0, site = %kind.1, spot = kind.2, count, "renting");
+        let (rig, site, spot) = kind.clone();
+        self.fleet.hires.insert(
+            name.clone(),
+            Hire {
+                kind,
+                count,
+                asked: now,
+                again_at: None,
+            },
+        );
+        self.effects.push(Effect::Rent {
+            hire: name,
+            rig,
+            site,
+            spot,
+            count,
+        });
+    }
+
+    pub(crate) fn kind_allowed(spec: &JobSpec, kind: &Kind) -> bool {
+        (spec.spot || !kind.2)
+            && spec.site.as_ref().is_none_or(|s| *s == kind.1)
+            && spec.rigs.as_ref().is_none_or(|r| r.contains(&kind.0))
+    }
+
+    /// The cheapest kind for `left` tasks of the job, among those not refused lately; among equals
+    /// the zone where we have least.
+    fn choose_kind(&self, now: Millis, spec: &JobSpec, left: u32) -> Option<Kind> {
+        let need = Amount::of(spec);
+        let mut best: Option<((f64, usize), Kind)> = None;
+        for rig in self.rigs.values() {
+            let n = need.count_in(&self.capacity(&rig.name), left);
+            if n == 0 {
+                continue;
+            }
+            for site in &rig.sites {
+                for spot in [true, false] {
+                    let kind = (rig.name.clone(), site.clone(), spot);
+                    let refused = self.fleet.refused.get(&kind);
+                    if !Self::kind_allowed(spec, &kind) || refused.is_some_and(|r| r.0 > now) {
+                        continue;
+                    }
+                    let price = if spot { rig.spot_price } else { rig.price };
+                    let here = self.machines.values().filter(|m| m.site == *site).count();
+                    let rank = (price / f64::from(n), here);
+                    if best.as_ref().is_none_or(|(b, _)| rank < *b) {
+                        best = Some((rank, kind));
+                    }
+                }
+            }
+        }
+        best.map(|(_, k)| k)
+    }
+
+    fn return_machines(&mut self, now: Millis, wanted: bool) {
+        let silence = self.policy.silence();
+        let up = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up)
+            .count();
+        let silent: Vec<&Machine> = self
+            .machines
+            .values()
+            .filter(|m| m.silent(now, silence) && now - self.began > silence)
+            .collect();
+        // Guards against giving the fleet away when it is we who can't hear.
+        let cap = ((up as f64 * self.policy.operator.give_up_share).ceil() as usize).max(1);
+        let mut back: BTreeSet<HostId> = BTreeSet::new();
+        if silent.len() <= cap {
+            back.extend(silent.iter().map(|m| m.id.clone()));
+        }
+        for m in self.machines.values() {
+            if m.standing == Standing::Returning {
+                continue;
+            }
+            let busy = m.wanted_intents().next().is_some();
+            let age = now - m.since;
+            let dead_boot = m.standing == Standing::Booting
+                && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
+            let idle_s = self.boot_s(&m.rig) * self.policy.operator.idle_boots;
+            let idle = m.standing == Standing::Up
+                && !wanted
+                && m.idle_since.is_some_and(|t| (now - t).secs() > idle_s);
+            let stuck = m.drain_since.is_some_and(|t| now - t > DRAIN_PATIENCE);
+            if dead_boot || m.list_failed || (idle && !busy) || (m.drain && (!busy || stuck)) {
+                back.insert(m.id.clone());
+            }
+        }
+        let again: Vec<HostId> = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Returning && m.direct_after <= now)
+            .map(|m| m.id.clone())
+            .collect();
+        back.extend(again);
+        if back.is_empty() || now < self.fleet.return_after || !self.fleet.calls.take(now, 1.0) {
+            return;
+        }
+        let hosts: Vec<HostId> = back.into_iter().take(MOST_PER_RETURN).collect();
+        for h in &hosts {
+            if let Some(m) = self.machines.get_mut(h) {
+                tracing::debug!(host = %h, drain = m.drain, failed = m.list_failed, heard = ?m.heard, "returning");
+                m.standing = Standing::Returning;
+                // Not asked again while the answer is awaited.
+                m.direct_after = now + Millis(10_000);
+            }
+        }
+        self.effects.push(Effect::Return { hosts });
+    }
+
+    pub(crate) fn rented(&mut self, now: Millis, hire: &str, hosts: Option<Vec<HostId>>) {
+        let Some(h) = self.fleet.hires.remove(hire) else {
+            return;
+        };
+        let got = hosts.as_ref().map_or(0, Vec::len) as u32;
+        if got < h.count {
+            let wait = self
+                .fleet
+                .refused
+                .get(&h.kind)
+                .map_or(REFUSED.0, |r| Millis(r.1 .0 * 2).min(REFUSED.1));
+            tracing::debug!(hire, got, asked = h.count, "refused for want of capacity");
+            self.fleet
+                .refused
+                .insert(h.kind.clone(), (now + wait, wait));
+        } else {
+            self.fleet.refused.remove(&h.kind);
+        }
+        let (rig, site, spot) = h.kind;
+        for id in hosts.into_iter().flatten() {
+            if self.gone.contains(&id) {
+                continue;
+            }
+            let began = self.began;
+            self.machines.entry(id.clone()).or_insert_with(|| {
+                let mut m = Machine::new(id, rig.clone(), site.clone(), spot, h.asked);
+                m.answered = began;
+                m
+            });
+        }
+        self.dirty = true;
+    }
+
+    pub(crate) fn rent_unclear(&mut self, now: Millis, hire: &str) {
+        if let Some(h) = self.fleet.hires.get_mut(hire) {
+            h.again_at = Some(now + HIRE_AGAIN);
+        }
+    }
+
+    /// The cloud's list. It lags, so it never proves a machine absent; a machine that was listed
+    /// and no longer is, is asked to be returned, and the answer to that is the proof.
+    pub(crate) fn hosts_listed(&mut self, now: Millis, asked: Millis, hosts: Vec<CloudHost>) {
+        let lag = Millis::from_secs(self.policy.facts.cloud.list_lag_s * 2.0 + 2.0);
+        let listed: BTreeSet<HostId> = hosts.iter().map(|h| h.id.clone()).collect();
+        for h in hosts {
+            if self.gone.contains(&h.id) {
+                continue;
+            }
+            let began = self.began;
+            let since = asked - Millis::from_secs(h.age_s);
+            let m = self.machines.entry(h.id.clone()).or_insert_with(|| {
+                tracing::info!(host = %h.id, rig = %h.rig, "listed, but not known: taken on");
+                let mut m = Machine::new(h.id, h.rig, h.site, h.spot, since);
+                m.answered = began;
+                m
+            });
+            m.listed = true;
+            if m.endpoint.is_empty() {
+                m.endpoint = h.endpoint;
+            }
+            m.list_failed = h.phase == CloudPhase::Failed;
+            m.missing_since = None;
+        }
+        for m in self.machines.values_mut() {
+            if listed.contains(&m.id) || m.standing == Standing::Returning {
+                continue;
+            }
+            let known_long = now - m.since.max(self.began) > lag;
+            let missing = *m.missing_since.get_or_insert(now);
+            let quiet = m.heard.is_none_or(|h| now - h > lag);
+            if known_long && quiet && now - missing > lag {
+                tracing::debug!(host = %m.id, "no longer listed and not heard of");
+                m.drain = true;
+                m.drain_since = Some(m.drain_since.unwrap_or(now - DRAIN_PATIENCE));
+            }
+        }
+        self.dirty = true;
+    }
+
+    pub(crate) fn returned(&mut self, now: Millis, hosts: &[HostId]) {
+        for h in hosts {
+            // Proof 4: the cloud's 200 to returning the machine.
+            self.empty_machine(now, h);
+            self.gone.insert(h.clone());
+            if let Some(m) = self.machines.remove(h) {
+                if m.stamp != Stamp(0) {
+                    self.writer.sweep(h, m.stamp);
+                }
+            }
+        }
+        self.dirty = true;
+    }
+
+    pub(crate) fn return_failed(&mut self, now: Millis, hosts: &[HostId]) {
+        self.fleet.return_after = now + Millis(1_000);
+        for h in hosts {
+            if let Some(m) = self.machines.get_mut(h) {
+                m.direct_after = now + Millis(2_000);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/leadership.rs
@@ -0,0 +1,47 @@
+//! Authority: until when a leader may act, on its own steady clock.
+
+use crate::ids::{Baton, Millis};
+use std::sync::atomic::{AtomicI64, Ordering};
+
+/// A leader's right to act. It lasts until the moment the last successful touch of the lease was
+/// *sent*, plus the lease's life, less a margin: the state service can't have ended the lease
+/// before that, so nobody else can have taken over.
+#[derive(Debug)]
+pub struct Authority {
+    pub baton: Baton,
+    life: Millis,
+    margin: Millis,
+    until: AtomicI64,
+}
+
+impl Authority {
+    /// Authority from a lease granted, or touched, by a request sent at `sent`.
+    pub fn new(baton: Baton, life: Millis, margin: Millis, sent: Millis) -> Authority {
+        let a = Authority {
+            baton,
+            life,
+            margin,
+            until: AtomicI64::new(i64::MIN),
+        };
+        a.renewed(sent);
+        a
+    }
+
+    /// A touch sent at that moment succeeded.
+    pub fn renewed(&self, sent: Millis) {
+        // Both clocks may be off by 0.05%: 0.2% covers them with room.
+        let drift = Millis(self.life.0 / 500 + 1);
+        let until = sent + self.life - self.margin - drift;
+        self.until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Gives authority up for good.
+    pub fn resign(&self) {
+        self.until.store(i64::MIN, Ordering::Relaxed);
+    }
+
+    /// Whether the leader may act at this moment.
+    pub fn holds(&self, now: Millis) -> bool {
+        now.0 < self.until.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,379 @@
+//! The decision core: a deterministic state machine. Events and a `now` go in, effects come out;
+//! there is no I/O, clock, thread or random number inside. The duties around it carry the effects
+//! out, and check the leader's authority again as each one leaves.
+
+pub mod fleet;
+pub mod graph;
+pub mod leadership;
+pub mod placement;
+pub mod recovery;
+pub mod worker_sessions;
+pub mod writer;
+
+use crate::bookkeeping::ledger::{Amount, Job, Machine};
+use crate::bookkeeping::records::OpenRecord;
+use crate::ids::{Baton, Epoch, HostId, JobId, Millis, Rig, Site, Stamp, Tenure, Try};
+use crate::protocol::cloud::{CloudHost, RigInfo};
+use crate::protocol::state::{Item, Txn};
+use crate::protocol::workers::{Order, Report};
+use crate::settings::{Facts, Operator, Settings, Team};
+use fleet::Fleet;
+use graph::Graph;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use writer::Writer;
+
+/// The settings the core goes by.
+#[derive(Debug, Clone)]
+pub struct Policy {
+    pub facts: Facts,
+    pub operator: Operator,
+}
+
+impl Policy {
+    /// Takes what the core needs.
+    pub fn new(s: &Settings) -> Policy {
+        Policy {
+            facts: s.platform.facts.clone(),
+            operator: s.operator.clone(),
+        }
+    }
+    /// A team's guarantee and limit.
+    pub fn team(&self, name: &str) -> Option<&Team> {
+        self.facts.teams.iter().find(|t| t.name == name)
+    }
+    /// The time by which most jobs of a class should be finished, if the settings name one.
+    pub fn finished_within(&self, class: &str) -> Option<f64> {
+        self.facts
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(class))
+            .filter_map(|o| o.within_s)
+            .fold(None, |least, s| Some(least.map_or(s, |l: f64| l.min(s))))
+    }
+    /// How long after its last answer a worker certainly has no lease: drift of both clocks, and a
+    /// little for what the worker needs to act on it.
+    pub fn lease_over(&self) -> Millis {
+        Millis::from_secs(self.facts.workers.lease_s * 1.002 + 0.5)
+    }
+    /// How long a worker may keep silent before it counts as silent.
+    pub fn silence(&self) -> Millis {
+        // Reports go out every `report_s`, give or take a quarter; a second for the way.
+        let s = self.facts.workers.report_s * 1.25 * self.operator.silent_reports;
+        Millis::from_secs(s + 1.0)
+    }
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Event {
+    /// An open job appeared.
+    JobOpened {
+        record: OpenRecord,
+        stamp: Stamp,
+        submitted: Millis,
+    },
+    /// A job is no longer open: cancelled, or finished by us.
+    JobClosed { id: JobId },
+    /// The whole list of open jobs, as read anew (after a gap in the watch).
+    OpenJobs {
+        jobs: Vec<(OpenRecord, Stamp, Millis)>,
+    },
+    /// A direct command was answered: 200 (executed) or 409 (not).
+    DirectAnswered {
+        host: HostId,
+        seq: u64,
+        report: Box<Report>,
+    },
+    /// A direct command was not answered. `sent` is false if it certainly never left.
+    DirectFailed { host: HostId, seq: u64, sent: bool },
+    /// Machine types and their prices.
+    Rigs(Vec<RigInfo>),
+    /// The whole machine list, asked for at the given moment.
+    Hosts {
+        asked: Millis,
+        hosts: Vec<CloudHost>,
+    },
+    /// A rental was answered: machines, or None for no capacity.
+    Rented {
+        hire: String,
+        hosts: Option<Vec<HostId>>,
+    },
+    /// A rental's outcome is unclear; it is asked again under the same name.
+    RentUnclear { hire: String },
+    /// The cloud confirmed that the machines are gone.
+    Returned { hosts: Vec<HostId> },
+    /// Returning was not confirmed.
+    ReturnFailed { hosts: Vec<HostId> },
+    /// A write is known to be done.
+    Written { seq: u64, epoch: Epoch },
+    /// A write was certainly not executed, nor will be.
+    NotWritten { seq: u64 },
+    /// A write's guards failed, or its outcome is unclear: the keys must be read again.
+    WriteUnclear { seq: u64 },
+    /// The keys read again.
+    Reread {
+        seq: u64,
+        items: Vec<(String, Option<Item>)>,
+    },
+}
+
+/// What is to be done. Every effect is carried out only with the leader's authority.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    Write {
+        seq: u64,
+        txn: Txn,
+    },
+    Reread {
+        seq: u64,
+        keys: Vec<String>,
+    },
+    Direct {
+        host: HostId,
+        endpoint: String,
+        seq: u64,
+        tenure: Tenure,
+        orders: Vec<Order>,
+    },
+    Rent {
+        hire: String,
+        rig: Rig,
+        site: Site,
+        spot: bool,
+        count: u32,
+    },
+    Return {
+        hosts: Vec<HostId>,
+    },
+    /// Somebody else leads: stop.
+    StepDown {
+        why: &'static str,
+    },
+}
+
+/// The state of one leadership.
+pub struct Core {
+    pub(crate) policy: Arc<Policy>,
+    pub(crate) baton: Baton,
+    pub(crate) lead_stamp: Stamp,
+    /// When this leadership began: no former leader has answered a worker since.
+    pub(crate) began: Millis,
+    pub(crate) rigs: BTreeMap<Rig, RigInfo>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) graph: Graph,
+    pub(crate) machines: BTreeMap<HostId, Machine>,
+    /// Names that the cloud confirmed gone: late reports of theirs mean nothing.
+    pub(crate) gone: BTreeSet<HostId>,
+    pub(crate) fleet: Fleet,
+    pub(crate) writer: Writer,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) next_seq: u64,
+    pub(crate) next_try: u64,
+    /// Something changed that placement should look at.
+    pub(crate) dirty: bool,
+    pub(crate) last_pass: Millis,
+    pub(crate) last_recheck: Millis,
+    /// Observed against guessed run times, per class: an estimate for slack and for renting.
+    pub(crate) observed: BTreeMap<String, placement::Observed>,
+}
+
+/// Counts of one job, for display.
+pub type JobCounts = (JobId, u32, u32);
+
+impl Core {
+    /// The leader's token.
+    pub fn baton(&self) -> Baton {
+        self.baton
+    }
+
+    pub(crate) fn seq(&mut self) -> u64 {
+        self.next_seq += 1;
+        self.next_seq
+    }
+
+    /// A try never used before: batons are unique for ever, and so is the count within one.
+    pub(crate) fn fresh_try(&mut self) -> Try {
+        self.next_try += 1;
+        Try((self.baton.0 << 20) | (self.next_try & 0xf_ffff))
+    }
+
+    /// What one machine of the type offers.
+    pub(crate) fn capacity(&self, rig: &Rig) -> Amount {
+        self.rigs.get(rig).map_or(Amount::default(), |r| Amount {
+            cpus: r.cpus,
+            gpus: r.gpus,
+            ram_gb: r.ram_gb,
+        })
+    }
+
+    /// Takes in an event.
+    pub fn on(&mut self, now: Millis, event: Event) {
+        match event {
+            Event::JobOpened {
+                record,
+                stamp,
+                submitted,
+            } => self.job_opened(record, stamp, submitted),
+            Event::JobClosed { id } => self.job_closed(now, &id),
+            Event::OpenJobs { jobs } => self.open_jobs(now, jobs),
+            Event::DirectAnswered { host, seq, report } => {
+                self.direct_answered(now, &host, seq, &report)
+            }
+            Event::DirectFailed { host, seq, sent } => self.direct_failed(now, &host, seq, sent),
+            Event::Rigs(rigs) => {
+                self.rigs = rigs.into_iter().map(|r| (r.name.clone(), r)).collect();
+                self.dirty = true;
+            }
+            Event::Hosts { asked, hosts } => self.hosts_listed(now, asked, hosts),
+            Event::Rented { hire, hosts } => self.rented(now, &hire, hosts),
+            Event::RentUnclear { hire } => self.rent_unclear(now, &hire),
+            Event::Returned { hosts } => self.returned(now, &hosts),
+            Event::ReturnFailed { hosts } => self.return_failed(now, &hosts),
+            Event::Written { seq, epoch } => self.written(now, seq, epoch),
+            Event::NotWritten { seq } => self.not_written(now, seq),
+            Event::WriteUnclear { seq } => self.write_unclear(now, seq),
+            Event::Reread { seq, items } => self.reread(now, seq, items),
+        }
+    }
+
+    /// Decides: called soon after events, and at least once a second.
+    pub fn step(&mut self, now: Millis) -> Vec<Effect> {
+        if (now - self.last_recheck).0 >= 1000 {
+            self.last_recheck = now;
+            self.graph.recheck();
+            self.recheck_machines(now);
+            self.forget_closed_jobs();
+            self.dirty = true;
+        }
+        if self.dirty {
+            self.dirty = false;
+            self.last_pass = now;
+            self.stop_unwanted(now);
+            let unmet = self.place(now);
+            self.size_fleet(now, unmet);
+        }
+        self.write(now);
+        self.push_direct(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Counts of open jobs, for display only.
+    pub fn counts(&self) -> Vec<JobCounts> {
+        let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
+        for s in self.machines.values().flat_map(|m| m.starts.values()) {
+            if s.running_since.is_some() && !s.ended() {
+                *running.entry(&s.piece.job).or_default() += 1;
+            }
+        }
+        self.jobs
+            .iter()
+            .filter(|(_, j)| !j.over)
+            .map(|(id, j)| {
+                (
+                    id.clone(),
+                    j.done.count(),
+                    running.get(id).copied().unwrap_or(0),
+                )
+            })
+            .filter(|(_, done, running)| *done + *running > 0)
+            .collect()
+    }
+
+    /// Counts of one job, for display only.
+    pub fn counts_of(&self, id: &JobId) -> (u32, u32) {
+        let Some(job) = self.jobs.get(id) else {
+            return (0, 0);
+        };
+        let hosts: BTreeSet<&HostId> = job.places.values().flatten().collect();
+        let running = hosts
+            .into_iter()
+            .filter_map(|h| self.machines.get(h))
+            .flat_map(|m| m.starts.values())
+            .filter(|s| s.piece.job == *id && s.running_since.is_some() && !s.ended())
+            .count();
+        (job.done.count(), running as u32)
+    }
+
+    fn job_opened(&mut self, record: OpenRecord, stamp: Stamp, submitted: Millis) {
+        let id = record.spec.id.clone();
+        match self.jobs.get_mut(&id) {
+            // A job that is over here never opens again: the finish mark stands for ever.
+            Some(job) if job.over => {}
+            Some(job) => job.stamp = stamp,
+            None => {
+                let due = self.deadline_of(&record, submitted);
+                self.graph.add(&id, &record.after, due);
+                self.jobs
+                    .insert(id, Job::new(record.spec, stamp, submitted));
+                self.dirty = true;
+            }
+        }
+    }
+
+    /// The deadline that labels go by: the job's own, or else the class's `finished` objective
+    /// (an exception of ours, see docs/DESIGN.md: most deployed jobs state no deadline).
+    fn deadline_of(&self, record: &OpenRecord, submitted: Millis) -> Option<Millis> {
+        let spec = &record.spec;
+        spec.due_s
+            .or_else(|| self.policy.finished_within(&spec.class))
+            .map(|s| submitted + Millis::from_secs(s))
+    }
+
+    pub(crate) fn job_closed(&mut self, now: Millis, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.over {
+            return;
+        }
+        job.over = true;
+        job.pending.clear();
+        self.dirty = true;
+        if job.complete() {
+            self.graph.finished(id);
+        } else {
+            tracing::debug!(job = %id, "closed by its user");
+            self.graph.failed(id);
+        }
+        let hosts: BTreeSet<HostId> = job.places.values().flatten().cloned().collect();
+        for h in hosts {
+            self.drop_untouched(now, &h, id);
+        }
+    }
+
+    fn open_jobs(&mut self, now: Millis, jobs: Vec<(OpenRecord, Stamp, Millis)>) {
+        let listed: BTreeSet<JobId> = jobs.iter().map(|(r, _, _)| r.spec.id.clone()).collect();
+        let closed: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(id, j)| !j.over && !listed.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in closed {
+            self.job_closed(now, &id);
+        }
+        for (record, stamp, submitted) in jobs {
+            self.job_opened(record, stamp, submitted);
+        }
+    }
+
+    /// Jobs that are over and have nothing left anywhere need not be remembered.
+    fn forget_closed_jobs(&mut self) {
+        let held: BTreeSet<&JobId> = self
+            .machines
+            .values()
+            .flat_map(|m| m.starts.keys().map(|(p, _)| &p.job))
+            .collect();
+        let idle: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(id, j)| j.over && !held.contains(*id) && !self.writer.mentions(id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in idle {
+            self.jobs.remove(&id);
+            self.graph.forget(&id);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/worker_sessions.rs
@@ -0,0 +1,752 @@
+//! Sessions with workers: which message is newer, what a report proves, which orders to send.
+//!
+//! A start leaves the ledger only by one of the proofs of docs/SAFETY.md; `vanish` is the one place
+//! where that happens, and each caller names its proof.
+
+use super::{Core, Effect};
+use crate::bookkeeping::ledger::{DirectCarrier, Machine, Seen, Standing, Start, StopWish};
+use crate::ids::{Baton, HostId, JobId, Millis, PieceId, Tenure, Tick, Try};
+use crate::protocol::users::Shape;
+use crate::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
+
+/// How a report came.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    CheckIn,
+    Direct,
+}
+
+/// How long a machine whose direct commands fail is left to its check-ins.
+const DIRECT_PAUSE: Millis = Millis(3000);
+/// A launch whose direct command was never answered, and which hasn't shown up either, keeps its
+/// place for this long before the whole machine is given up.
+const LOST_PATIENCE: Millis = Millis(45_000);
+/// Errors of one job on several machines make it wait, doubling, between these.
+const JOB_BACKOFF: (Millis, Millis) = (Millis(2000), Millis(60_000));
+
+/// The answer to a check-in.
+#[derive(Debug, PartialEq)]
+pub enum CheckInAnswer {
+    /// 200 with these orders.
+    Orders(Vec<Order>),
+    /// Not to be answered with 200: the machine is gone for us, or a newer leader exists.
+    Refuse,
+}
+
+impl Core {
+    /// A worker's check-in. The caller has made sure of the leader's authority, and sends the
+    /// orders only if it still holds then.
+    pub fn check_in(&mut self, now: Millis, report: &Report) -> CheckInAnswer {
+        if report.baton > self.baton {
+            self.effects.push(Effect::StepDown {
+                why: "a worker has seen a higher baton",
+            });
+            return CheckInAnswer::Refuse;
+        }
+        if self.gone.contains(&report.host) {
+            return CheckInAnswer::Refuse;
+        }
+        let fresh = self.take_report(now, report, Way::CheckIn);
+        let Some(m) = self.machines.get_mut(&report.host) else {
+            return CheckInAnswer::Refuse;
+        };
+        m.answered = now;
+        if !fresh {
+            return CheckInAnswer::Orders(Vec::new());
+        }
+        CheckInAnswer::Orders(self.check_in_orders(now, &report.host))
+    }
+
+    pub(crate) fn direct_answered(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        seq: u64,
+        report: &Report,
+    ) {
+        if report.baton > self.baton {
+            self.effects.push(Effect::StepDown {
+                why: "a worker has seen a higher baton",
+            });
+            return;
+        }
+        if report.host != *host || self.gone.contains(host) {
+            return;
+        }
+        self.take_report(now, report, Way::Direct);
+        // Answered: executed, or certainly not. Either way it no longer is under way.
+        self.settle_direct(host, seq, DirectCarrier::None);
+        self.dirty = true;
+    }
+
+    pub(crate) fn direct_failed(&mut self, now: Millis, host: &HostId, seq: u64, sent: bool) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        m.direct_after = now + DIRECT_PAUSE;
+        // Guards against a command that a cut or a hang held back: it may execute at any later
+        // time in this tenure, so the launch stays in flight until the tenure ends.
+        let end = if sent {
+            DirectCarrier::Lost(m.tenure)
+        } else {
+            DirectCarrier::None
+        };
+        tracing::debug!(host = %host, sent, "direct command not answered");
+        self.settle_direct(host, seq, end);
+    }
+
+    fn settle_direct(&mut self, host: &HostId, seq: u64, end: DirectCarrier) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        if m.direct_seq == Some(seq) {
+            m.direct_seq = None;
+        }
+        for s in m.starts.values_mut() {
+            if s.direct == DirectCarrier::InFlight(seq) {
+                s.direct = end;
+            }
+        }
+    }
+
+    /// Takes a report in; false if it was no news. The list of an old report proves nothing.
+    fn take_report(&mut self, now: Millis, r: &Report, way: Way) -> bool {
+        let began = self.began;
+        let m = self.machines.entry(r.host.clone()).or_insert_with(|| {
+            tracing::info!(host = %r.host, rig = %r.rig, "a machine reports that was not known");
+            let mut m = Machine::new(r.host.clone(), r.rig.clone(), r.site.clone(), r.spot, now);
+            m.answered = began;
+            m
+        });
+        if m.standing == Standing::Booting {
+            m.standing = Standing::Up;
+            m.idle_since = Some(now);
+            tracing::debug!(host = %m.id, boot_ms = (now - m.since).0, "machine is up");
+            self.dirty = true;
+        }
+        m.endpoint.clone_from(&r.endpoint);
+        if (r.tenure, r.tick) <= (m.tenure, m.tick) {
+            return false;
+        }
+        let ended_tenure = r.tenure > m.tenure;
+        m.tenure = r.tenure;
+        m.tick = r.tick;
+        m.heard = Some(now);
+        let recall = r.recall_s.map(|s| now + Millis::from_secs(s));
+        if m.recall_at.is_none() && recall.is_some() {
+            tracing::debug!(host = %m.id, "spot notice");
+            self.dirty = true;
+        }
+        m.recall_at = recall;
+        let confirmed = r.baton == self.baton;
+        m.confirmed |= confirmed;
+        let host = r.host.clone();
+        for p in &r.pieces {
+            self.see(now, &host, p, r.tenure);
+        }
+        self.see_absent(now, &host, r, way, ended_tenure, confirmed);
+        true
+    }
+
+    /// A start that a report lists.
+    fn see(&mut self, now: Millis, host: &HostId, p: &PieceReport, tenure: Tenure) {
+        let key = (p.piece.clone(), p.attempt);
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        let known = m.starts.contains_key(&key);
+        if !known {
+            // Listed but not in our ledger: a start whose intent was swept as a tombstone, or of a
+            // job long over. Adopted, so that it counts until it is gone.
+            let mut s = Start::planned(p.piece.clone(), p.attempt, now);
+            s.inherited = true;
+            s.durable = true;
+            m.starts.insert(key.clone(), s);
+            if p.phase != PiecePhase::Ended {
+                self.add_place(host, &p.piece);
+            }
+        }
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        let Some(s) = m.starts.get_mut(&key) else {
+            return;
+        };
+        // A launch by a carrier of an earlier tenure can't be what we see now.
+        if let DirectCarrier::Lost(t) = s.direct {
+            if t < tenure {
+                s.direct = DirectCarrier::None;
+            }
+        }
+        let before = s.seen;
+        let since = match before {
+            Some(b) if b.phase == p.phase => b.since,
+            _ => now,
+        };
+        s.seen = Some(Seen {
+            phase: p.phase,
+            cause: p.cause,
+            stored: p.stored,
+            since,
+        });
+        if p.phase == PiecePhase::Running && s.running_since.is_none() {
+            s.running_since = Some(now);
+        }
+        let newly_running =
+            p.phase == PiecePhase::Running && before.is_none_or(|b| b.phase != PiecePhase::Running);
+        let newly_ended =
+            p.phase == PiecePhase::Ended && before.is_none_or(|b| b.phase != PiecePhase::Ended);
+        if newly_running {
+            self.note_image(host, &p.piece.job);
+        }
+        if newly_ended {
+            self.ended(now, host, &key, p.cause.unwrap_or(Cause::Error));
+        }
+    }
+
+    fn note_image(&mut self, host: &HostId, job: &JobId) {
+        let (Some(m), Some(job)) = (self.machines.get_mut(host), self.jobs.get(job)) else {
+            return;
+        };
+        let cache = self.rigs.get(&m.rig).map_or(0.0, |r| r.cache_gb);
+        m.use_image(&job.spec.image, job.spec.image_gb, cache);
+    }
+
+    /// Starts that a report does not list: which of them are proven gone.
+    fn see_absent(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        r: &Report,
+        way: Way,
+        ended_tenure: bool,
+        confirmed: bool,
+    ) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        let listed: std::collections::BTreeSet<(&PieceId, Try)> =
+            r.pieces.iter().map(|p| (&p.piece, p.attempt)).collect();
+        let mut gone = Vec::new();
+        for (key, s) in m.starts.iter_mut() {
+            if listed.contains(&(&key.0, key.1)) {
+                if way == Way::CheckIn {
+                    // Proof 1's settling: a later check-in of the same tenure means that the answer
+                    // which carried the launch was either executed or dropped.
+                    if s.checkin_carrier.is_some_and(|t| t < r.tick) || ended_tenure {
+                        s.checkin_carrier = None;
+                    }
+                }
+                continue;
+            }
+            if s.untouched() {
+                continue;
+            }
+            if ended_tenure && !s.inherited {
+                // Proof 2: launched in an earlier tenure, whose tasks are all killed and forgotten
+                // and whose launches no longer match.
+                s.checkin_carrier = None;
+                s.direct = DirectCarrier::None;
+                gone.push(key.clone());
+                continue;
+            }
+            if way == Way::CheckIn && s.checkin_carrier.is_some_and(|t| t < r.tick) {
+                s.checkin_carrier = None;
+            }
+            if !confirmed {
+                // Guards against an order of the former leader that may still be executed.
+                continue;
+            }
+            if s.inherited || !s.in_flight() {
+                // Proof 1. For an inherited start our baton in the report is enough: orders with
+                // the former one are no longer accepted by this worker.
+                gone.push(key.clone());
+            }
+        }
+        for key in gone {
+            let relaunch = self.machines.get(host).is_some_and(|m| {
+                m.starts.get(&key).is_some_and(|s| {
+                    s.seen.is_none() && !s.inherited && s.launched_in == Some(m.tenure)
+                })
+            });
+            if relaunch {
+                // The launch was dropped, nothing was started: it may simply be sent again.
+                if let Some(s) = self.start_mut(host, &key) {
+                    s.launched_in = None;
+                }
+                continue;
+            }
+            self.vanish(now, host, &key);
+        }
+    }
+
+    pub(crate) fn start_mut(&mut self, host: &HostId, key: &(PieceId, Try)) -> Option<&mut Start> {
+        self.machines.get_mut(host)?.starts.get_mut(key)
+    }
+
+    fn add_place(&mut self, host: &HostId, piece: &PieceId) {
+        if let Some(job) = self.jobs.get_mut(&piece.job) {
+            let places = job.places.entry(piece.index).or_default();
+            if !places.contains(host) {
+                places.push(host.clone());
+            }
+            job.pending.remove(&piece.index);
+        }
+    }
+
+    /// The piece no longer is on that machine (ended there, or proven gone).
+    fn drop_place(&mut self, host: &HostId, piece: &PieceId) {
+        // Another try of the same task may be on this machine.
+        let still = self
+            .machines
+            .get(host)
+            .is_some_and(|m| m.starts.values().any(|s| s.piece == *piece && !s.ended()));
+        let Some(job) = self.jobs.get_mut(&piece.job) else {
+            return;
+        };
+        if still {
+            return;
+        }
+        if let Some(places) = job.places.get_mut(&piece.index) {
+            places.retain(|h| h != host);
+            if places.is_empty() {
+                job.places.remove(&piece.index);
+            }
+        }
+        if job.wants(piece.index) && !job.places.contains_key(&piece.index) {
+            job.pending.insert(piece.index);
+        }
+        self.dirty = true;
+    }
+
+    /// A start ended on its machine. It stays there as a tombstone until cleared.
+    fn ended(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try), cause: Cause) {
+        let (piece, _) = key;
+        tracing::debug!(piece = %piece, host = %host, cause = ?cause, "ended");
+        self.touch_intents(now, host);
+        if cause == Cause::Done {
+            self.note_run_time(now, host, key);
+            if let Some(job) = self.jobs.get_mut(&piece.job) {
+                if piece.index < job.spec.pieces && !job.over && job.done.add(piece.index) {
+                    job.unsaved.insert(piece.index);
+                    job.pending.remove(&piece.index);
+                }
+                job.failures = 0;
+            }
+            if let Some(m) = self.machines.get_mut(host) {
+                m.failed_jobs.clear();
+            }
+        }
+        self.drop_place(host, piece);
+        match cause {
+            Cause::Error => self.failed(now, host, piece),
+            Cause::Full => {
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.full_until = now + Millis(3000);
+                }
+            }
+            Cause::Unknown => {
+                // The description isn't there yet; try again a little later.
+                if let Some(job) = self.jobs.get_mut(&piece.job) {
+                    job.not_before = job.not_before.max(now + Millis(2000));
+                }
+            }
+            Cause::Busy => {
+                // Another try of this task is on the machine although we held it for empty: leave
+                // the machine to its next reports, which list that try.
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.full_until = now + Millis(6000);
+                }
+            }
+            Cause::Done | Cause::Stopped | Cause::MatesGone | Cause::Incomplete => {}
+        }
+    }
+
+    /// A task failed: mostly the machine is faulty, but a job may be.
+    fn failed(&mut self, now: Millis, host: &HostId, piece: &PieceId) {
+        let most = self.policy.operator.sick_errors as usize;
+        let Some(job) = self.jobs.get_mut(&piece.job) else {
+            return;
+        };
+        job.failures += 1;
+        job.failed_on.insert(host.clone());
+        // A job that failed on several machines backs off and condemns none of them.
+        let suspect = job.failed_on.len() > 2;
+        if job.failed_on.len() > 1 {
+            let step = JOB_BACKOFF.0 .0 << (job.failed_on.len() as u32 - 2).min(5);
+            job.not_before = now + Millis(step.min(JOB_BACKOFF.1 .0));
+        }
+        if let Some(m) = self.machines.get_mut(host) {
+            if !suspect {
+                m.failed_jobs.insert(piece.job.clone());
+            }
+            m.full_until = now + Millis(2000);
+            if m.failed_jobs.len() >= most && !m.drain {
+                tracing::info!(host = %host, "sick: tasks of different jobs fail here");
+                m.start_drain(now);
+            }
+        }
+    }
+
+    /// A start is proven gone. Callers name the proof.
+    pub(crate) fn vanish(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try)) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        let Some(s) = m.starts.remove(key) else {
+            return;
+        };
+        self.touch_intents(now, host);
+        if !s.ended() {
+            tracing::debug!(piece = %key.0, host = %host, "proven gone");
+            self.drop_place(host, &key.0);
+        }
+    }
+
+    /// The machine's record no longer says what is true: it is rewritten when there is time.
+    pub(crate) fn touch_intents(&mut self, now: Millis, host: &HostId) {
+        if let Some(m) = self.machines.get_mut(host) {
+            m.stale_since.get_or_insert(now);
+            let idle = m.wanted_intents().next().is_none();
+            if !idle {
+                m.idle_since = None;
+            } else if m.idle_since.is_none() {
+                m.idle_since = Some(now);
+            }
+        }
+    }
+
+    /// Starts of a closed job that were never launched by anybody are dropped at once.
+    pub(crate) fn drop_untouched(&mut self, now: Millis, host: &HostId, job: &JobId) {
+        let Some(m) = self.machines.get(host) else {
+            return;
+        };
+        let keys: Vec<_> = m
+            .starts
+            .values()
+            .filter(|s| s.piece.job == *job && s.untouched())
+            .map(|s| (s.piece.clone(), s.attempt))
+            .collect();
+        for key in keys {
+            // Proof: never launched. If its intent is being written, that only errs on the safe side.
+            self.vanish(now, host, &key);
+        }
+    }
+
+    /// All starts of a machine are proven gone at once: its lease is over, or the cloud said so.
+    pub(crate) fn empty_machine(&mut self, now: Millis, host: &HostId) {
+        let Some(m) = self.machines.get(host) else {
+            return;
+        };
+        let keys: Vec<_> = m.starts.keys().cloned().collect();
+        for key in keys {
+            self.vanish(now, host, &key);
+        }
+    }
+
+    /// Once a second: leases that are over, machines that are silent, starts that make no progress.
+    pub(crate) fn recheck_machines(&mut self, now: Millis) {
+        let lease_over = self.policy.lease_over();
+        let over: Vec<HostId> = self
+            .machines
+            .values()
+            .filter(|m| !m.starts.is_empty())
+            .filter(|m| now - m.answered.max(self.began) > lease_over)
+            .map(|m| m.id.clone())
+            .collect();
+        for host in over {
+            // Proof 3: no entitled controller has answered it for longer than its lease. Starts
+            // that were never launched stay planned no longer either.
+            tracing::info!(host = %host, "lease over: its tasks are gone");
+            self.empty_machine(now, &host);
+        }
+        let lost: Vec<HostId> = self
+            .machines
+            .values()
+            .filter(|m| !m.drain)
+            .filter(|m| {
+                m.starts.values().any(|s| {
+                    matches!(s.direct, DirectCarrier::Lost(_))
+                        && s.seen.is_none()
+                        && now - s.since > LOST_PATIENCE
+                })
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for host in lost {
+            tracing::info!(host = %host, "a launch stays unaccounted for: giving the machine up");
+            if let Some(m) = self.machines.get_mut(&host) {
+                m.start_drain(now);
+            }
+        }
+    }
+
+    /// Marks the starts that should end: of closed jobs, of done tasks, on machines to be emptied.
+    pub(crate) fn stop_unwanted(&mut self, now: Millis) {
+        let mut ended_here = Vec::new();
+        let silence = self.policy.silence();
+        for m in self.machines.values_mut() {
+            let recall = m.recall_at;
+            let drain = m.drain;
+            let silent = m.silent(now, silence);
+            for (key, s) in m.starts.iter_mut() {
+                if s.ended() {
+                    continue;
+                }
+                let job = self.jobs.get(&key.0.job);
+                let wanted = job.is_some_and(|j| j.wants(key.0.index));
+                if s.untouched() && silent {
+                    ended_here.push((m.id.clone(), key.clone()));
+                    continue;
+                }
+                if wanted && recall.is_none() && !drain {
+                    continue;
+                }
+                if s.untouched() {
+                    ended_here.push((m.id.clone(), key.clone()));
+                    continue;
+                }
+                if let Some(w) = &mut s.stop {
+                    // Saving for a user who has cancelled since is of no use to anybody.
+                    if !wanted && w.grace_s > 0.0 {
+                        w.grace_s = 0.0;
+                        w.sent_direct = false;
+                    }
+                    continue;
+                }
+                let grace_s = match job {
+                    Some(j) if wanted && j.spec.checkpoint_s > 0.0 => {
+                        let left = recall.map_or(f64::INFINITY, |t| (t - now).secs());
+                        if left > j.spec.save_s {
+                            j.spec.save_s + 2.0
+                        } else {
+                            0.0
+                        }
+                    }
+                    _ => 0.0,
+                };
+                s.stop = Some(StopWish {
+                    grace_s,
+                    sent_direct: false,
+                });
+            }
+        }
+        for (host, key) in ended_here {
+            // Proof: never launched.
+            self.vanish(now, &host, &key);
+        }
+        self.stop_broken_gangs();
+    }
+
+    /// A gang of which a member is stopped or lost stops as a whole: its members would only wait
+    /// for each other, and an orderly stop must reach all of them within `gang_peer_s`.
+    fn stop_broken_gangs(&mut self) {
+        for (id, job) in &self.jobs {
+            let gang = job.spec.shape == Shape::Gang && job.spec.pieces > 1;
+            if !gang || job.over || job.done.count() > 0 || job.places.is_empty() {
+                continue;
+            }
+            let hosts: Vec<HostId> = job.places.values().flatten().cloned().collect();
+            let members = |m: &Machine| {
+                m.starts
+                    .values()
+                    .filter(|s| s.piece.job == *id && !s.ended())
+                    .any(|s| s.stop.is_some())
+            };
+            let stopping = hosts
+                .iter()
+                .any(|h| self.machines.get(h).is_some_and(members));
+            if !stopping && job.pending.is_empty() {
+                continue;
+            }
+            let grace_s = if job.pending.is_empty() {
+                job.spec.save_s + 2.0
+            } else {
+                0.0
+            };
+            for host in hosts {
+                let Some(m) = self.machines.get_mut(&host) else {
+                    continue;
+                };
+                for s in m.starts.values_mut() {
+                    if s.piece.job == *id && !s.ended() && s.stop.is_none() {
+                        s.stop = Some(StopWish {
+                            grace_s,
+                            sent_direct: false,
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether an ended start may be cleared: its outcome is durable (or of no interest), and no
+    /// launch of the same try can still arrive and start it afresh.
+    fn may_clear(&self, s: &Start) -> bool {
+        if !s.ended() || s.in_flight() {
+            return false;
+        }
+        let done = s.seen.is_some_and(|x| x.cause == Some(Cause::Done));
+        match self.jobs.get(&s.piece.job) {
+            Some(j) if done && !j.over => {
+                j.done.has(s.piece.index) && !j.unsaved.contains(&s.piece.index)
+            }
+            _ => true,
+        }
+    }
+
+    fn stop_order(s: &Start, now: Millis) -> Option<Order> {
+        let wish = s.stop?;
+        let saving = s.seen.filter(|x| x.phase == PiecePhase::Saving);
+        let grace_s = match saving {
+            Some(x) if (now - x.since).secs() <= wish.grace_s => return None,
+            Some(_) => 0.0,
+            None => wish.grace_s,
+        };
+        Some(Order::Stop {
+            piece: s.piece.clone(),
+            attempt: s.attempt,
+            grace_s,
+        })
+    }
+
+    fn wants_launch(&self, m: &Machine, s: &Start) -> bool {
+        s.durable
+            && s.stop.is_none()
+            && s.seen.is_none()
+            && !s.inherited
+            && !m.drain
+            && m.recall_at.is_none()
+            && m.standing == Standing::Up
+            && self
+                .jobs
+                .get(&s.piece.job)
+                .is_some_and(|j| j.wants(s.piece.index))
+    }
+
+    /// The orders that answer a check-in: all that the worker should know now.
+    fn check_in_orders(&mut self, now: Millis, host: &HostId) -> Vec<Order> {
+        let Some(m) = self.machines.get(host) else {
+            return Vec::new();
+        };
+        let mut orders = Vec::new();
+        let mut launched = Vec::new();
+        let mut room = MAX_ORDERS;
+        for (key, s) in &m.starts {
+            if room == 0 {
+                break;
+            }
+            let before = orders.len();
+            if s.ended() {
+                if self.may_clear(s) {
+                    orders.push(Order::Clear {
+                        piece: s.piece.clone(),
+                        attempt: s.attempt,
+                    });
+                }
+            } else if s.stop.is_some() {
+                orders.extend(Self::stop_order(s, now));
+            } else if self.wants_launch(m, s) && !matches!(s.direct, DirectCarrier::InFlight(_)) {
+                orders.push(Order::Launch {
+                    piece: s.piece.clone(),
+                    attempt: s.attempt,
+                });
+                launched.push(key.clone());
+            }
+            room -= orders.len() - before;
+        }
+        let (tenure, tick) = (m.tenure, m.tick);
+        for key in launched {
+            if let Some(s) = self.start_mut(host, &key) {
+                s.checkin_carrier = Some(tick);
+                s.launched_in = Some(tenure);
+            }
+        }
+        orders
+    }
+
+    /// Launches and stops that needn't wait for the next check-in go straight to the worker: one
+    /// command at a time on each machine.
+    pub(crate) fn push_direct(&mut self, now: Millis) {
+        let hosts: Vec<HostId> = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up && m.direct_seq.is_none())
+            .filter(|m| m.direct_after <= now && !m.endpoint.is_empty() && m.tenure > Tenure(0))
+            .map(|m| m.id.clone())
+            .collect();
+        for host in hosts {
+            self.push_direct_to(now, &host);
+        }
+    }
+
+    fn push_direct_to(&mut self, now: Millis, host: &HostId) {
+        let Some(m) = self.machines.get(host) else {
+            return;
+        };
+        let mut orders = Vec::new();
+        let mut carried = Vec::new();
+        let mut stops = Vec::new();
+        for (key, s) in &m.starts {
+            if orders.len() >= MAX_ORDERS {
+                break;
+            }
+            if let Some(w) = s.stop.filter(|_| !s.ended()) {
+                // Repeats are left to the check-ins.
+                if !w.sent_direct {
+                    orders.extend(Self::stop_order(s, now));
+                    stops.push(key.clone());
+                }
+            } else if self.wants_launch(m, s) && !s.in_flight() {
+                orders.push(Order::Launch {
+                    piece: s.piece.clone(),
+                    attempt: s.attempt,
+                });
+                carried.push(key.clone());
+            }
+        }
+        // An inherited machine is resolved at once by any command that carries our baton.
+        let resolve = !m.confirmed && m.starts.values().any(|s| s.inherited);
+        if orders.is_empty() && !resolve {
+            return;
+        }
+        let (endpoint, tenure) = (m.endpoint.clone(), m.tenure);
+        let seq = self.seq();
+        if let Some(m) = self.machines.get_mut(host) {
+            m.direct_seq = Some(seq);
+            for key in carried {
+                if let Some(s) = m.starts.get_mut(&key) {
+                    s.direct = DirectCarrier::InFlight(seq);
+                    s.launched_in = Some(tenure);
+                }
+            }
+            for key in stops {
+                if let Some(w) = m.starts.get_mut(&key).and_then(|s| s.stop.as_mut()) {
+                    w.sent_direct = true;
+                }
+            }
+        }
+        self.effects.push(Effect::Direct {
+            host: host.clone(),
+            endpoint,
+            seq,
+            tenure,
+            orders,
+        });
+    }
+
+    /// For tests and logs: the newest message seen of a machine.
+    pub fn session(&self, host: &HostId) -> Option<(Tenure, Tick, bool)> {
+        self.machines
+            .get(host)
+            .map(|m| (m.tenure, m.tick, m.confirmed))
+    }
+
+    /// Whether a report carries our baton.
+    pub fn is_ours(&self, baton: Baton) -> bool {
+        baton == self.baton
+    }
+}
+
+/// Orders in one message: keeps its line well under 64 KiB.
+const MAX_ORDERS: usize = 400;
--- /dev/null
+++ b/src/duties/catalog.rs
@@ -0,0 +1,96 @@
+//! Machine types: every controller must know them to judge submissions, also while the cloud is
+//! down. The leader asks the cloud and keeps a copy on the state service; the others read that, and
+//! ask the cloud themselves only while there is no copy.
+
+use super::{lock, Node};
+use crate::bookkeeping::records::CATALOG;
+use crate::coordination::Event;
+use crate::protocol::cloud::{RigInfo, RigList};
+use crate::protocol::state::{Change, Guard, Txn};
+use hyper::Method;
+use rand::Rng;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often a controller refreshes what it knows.
+const REFRESH: Duration = Duration::from_secs(20);
+
+/// Keeps the machine types.
+pub async fn keep(node: Arc<Node>) {
+    loop {
+        let known = !lock(&node.rigs).is_empty();
+        let leads = node.leader.leads(node.now());
+        let mut pause = REFRESH;
+        let found = if known && !leads {
+            from_state(&node).await
+        } else if leads {
+            from_cloud(&node).await
+        } else {
+            match from_state(&node).await {
+                Some(r) => Some(r),
+                None => from_cloud(&node).await,
+            }
+        };
+        match found {
+            Some(rigs) => {
+                if leads {
+                    node.leader.event(node.now(), Event::Rigs(rigs.clone()));
+                    if *lock(&node.rigs) != rigs || !known {
+                        store(&node, &rigs).await;
+                    }
+                } else if !known {
+                    node.leader.event(node.now(), Event::Rigs(rigs.clone()));
+                }
+                *lock(&node.rigs) = rigs;
+            }
+            None if known => pause = Duration::from_secs(5),
+            None => pause = Duration::from_millis(500 + rand::rng().random_range(0..500)),
+        }
+        tokio::select! {
+            _ = node.stop.cancelled() => return,
+            _ = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+async fn from_state(node: &Node) -> Option<Vec<RigInfo>> {
+    let item = node.state.get(CATALOG).await.ok()??;
+    let list: RigList = serde_json::from_value(item.data).ok()?;
+    (!list.rigs.is_empty()).then_some(list.rigs)
+}
+
+async fn from_cloud(node: &Node) -> Option<Vec<RigInfo>> {
+    let cloud = node.settings.platform.endpoints.cloud.to_string();
+    let deadline = Duration::from_secs(3);
+    let a = node
+        .cloud
+        .send(Method::GET, &cloud, "/machine_types", None, deadline)
+        .await
+        .ok()?;
+    if a.status != 200 {
+        return None;
+    }
+    let list: RigList = serde_json::from_slice(&a.body).ok()?;
+    (!list.rigs.is_empty()).then_some(list.rigs)
+}
+
+async fn store(node: &Node, rigs: &[RigInfo]) {
+    let list = RigList {
+        rigs: rigs.to_vec(),
+    };
+    let Ok(data) = serde_json::to_value(&list) else {
+        return;
+    };
+    let stamp = match node.state.get(CATALOG).await {
+        Ok(item) => item.map(|i| i.stamp).unwrap_or_default(),
+        Err(_) => return,
+    };
+    let txn = Txn {
+        guards: vec![Guard {
+            key: CATALOG.into(),
+            stamp,
+        }],
+        apply: vec![Change::put(CATALOG.into(), data)],
+    };
+    let _ = node.state.txn(&txn).await;
+}
--- /dev/null
+++ b/src/duties/front.rs
@@ -0,0 +1,222 @@
+//! The front: one place where users', workers' and health requests come in.
+
+use super::leader::CheckIn;
+use super::peers::STATE_FRESH;
+use super::{users, Node};
+use crate::protocol::peers::{PeerReply, PeerRequest};
+use crate::protocol::workers::{CheckInReply, GoElsewhere, Report};
+use bytes::{Buf, BytesMut};
+use futures_util::{Stream, TryStreamExt};
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+use warp::http::{Method, Response, StatusCode};
+use warp::path::FullPath;
+use warp::Filter;
+
+/// The limit for a request body.
+const MAX_BODY: usize = 64 * 1024;
+/// How long a client may take to send its body.
+const BODY_TIME: Duration = Duration::from_secs(4);
+
+/// An answer to be sent.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Vec<u8>,
+}
+
+impl Reply {
+    /// A JSON body.
+    pub fn json<T: Serialize>(status: u16, body: &T) -> Reply {
+        Reply {
+            status,
+            body: serde_json::to_vec(body).unwrap_or_default(),
+        }
+    }
+    /// An error with a short reason.
+    pub fn error(status: u16, reason: &str) -> Reply {
+        Reply::json(status, &serde_json::json!({ "error": reason }))
+    }
+    /// Not now: come back.
+    pub fn busy(reason: &str) -> Reply {
+        Reply::error(503, reason)
+    }
+}
+
+fn to_http(r: Reply) -> Response<Vec<u8>> {
+    let mut out = Response::builder()
+        .status(StatusCode::from_u16(r.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR))
+        .header("content-type", "application/json");
+    if r.status == 503 {
+        out = out.header("retry-after", "1");
+    }
+    out.body(r.body).unwrap_or_default()
+}
+
+/// Serves until stopped.
+pub async fn serve(node: Arc<Node>, listener: tokio::net::TcpListener) {
+    let stop = node.stop.clone();
+    let routes = warp::method()
+        .and(warp::path::full())
+        .and(warp::body::stream())
+        .then(move |method: Method, path: FullPath, body| {
+            let node = node.clone();
+            async move { to_http(answer(&node, method, path.as_str(), body).await) }
+        });
+    warp::serve(routes)
+        .incoming(listener)
+        .graceful(async move { stop.cancelled().await })
+        .run()
+        .await;
+}
+
+/// Reads the body within its limits. Err: the status that says what is wrong.
+async fn read_body<S, B>(body: S) -> Result<Vec<u8>, u16>
+where
+    S: Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    let read = async {
+        let mut out = BytesMut::new();
+        let mut body = std::pin::pin!(body);
+        while let Some(mut part) = body.try_next().await.map_err(|_| 400u16)? {
+            while part.has_remaining() {
+                let n = part.chunk().len();
+                if out.len() + n > MAX_BODY {
+                    return Err(413);
+                }
+                out.extend_from_slice(part.chunk());
+                part.advance(n);
+            }
+        }
+        Ok(out.to_vec())
+    };
+    tokio::time::timeout(BODY_TIME, read)
+        .await
+        .unwrap_or(Err(408))
+}
+
+async fn answer<S, B>(node: &Arc<Node>, method: Method, path: &str, body: S) -> Reply
+where
+    S: Stream<Item = Result<B, warp::Error>>,
+    B: Buf,
+{
+    match (path, method.as_str()) {
+        ("/healthz", "GET") => return health(node).await,
+        ("/healthz" | "/checkin", m) if (path == "/healthz") || m != "POST" => {
+            return Reply::error(405, "method not allowed");
+        }
+        _ => {}
+    }
+    let body = match read_body(body).await {
+        Ok(b) => b,
+        Err(status) => return Reply::error(status, "the body can't be taken"),
+    };
+    if path == "/checkin" {
+        return check_in(node, &body);
+    }
+    // Reports of workers come first: users' requests beyond what fits are told to come back.
+    let Ok(_slot) = node.user_slots.try_acquire() else {
+        return Reply::busy("too many requests at once");
+    };
+    user_request(node, method.as_str(), path, &body, false).await
+}
+
+fn check_in(node: &Node, body: &[u8]) -> Reply {
+    let report: Report = match serde_json::from_slice(body) {
+        Ok(r) => r,
+        Err(e) => return Reply::error(400, &e.to_string()),
+    };
+    match node.leader.check_in(node.now(), &report) {
+        CheckIn::Orders { baton, orders } => Reply::json(200, &CheckInReply { baton, orders }),
+        CheckIn::GoTo(leader) => Reply::json(
+            421,
+            &GoElsewhere {
+                leader: leader.as_deref(),
+            },
+        ),
+    }
+}
+
+/// Routes a user's request; `passed_on` if a sibling sent it, so that it isn't passed on again.
+pub async fn user_request(
+    node: &Arc<Node>,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    passed_on: bool,
+) -> Reply {
+    let rest = match path.strip_prefix("/submissions") {
+        Some("") => {
+            if method != "POST" {
+                return Reply::error(405, "method not allowed");
+            }
+            let here = users::submit(node, body).await;
+            return or_sibling(node, here, method, path, body, passed_on, users::SUBMIT).await;
+        }
+        Some(rest) if rest.starts_with('/') => &rest[1..],
+        _ => return Reply::error(404, "no such path"),
+    };
+    match rest.split_once('/') {
+        None => {
+            if method != "GET" {
+                return Reply::error(405, "method not allowed");
+            }
+            let here = users::poll(node, rest).await;
+            or_sibling(node, here, method, path, body, passed_on, users::POLL).await
+        }
+        Some((id, "withdraw")) => {
+            if method != "POST" {
+                return Reply::error(405, "method not allowed");
+            }
+            let here = users::cancel(node, id).await;
+            or_sibling(node, here, method, path, body, passed_on, users::SUBMIT).await
+        }
+        Some(_) => Reply::error(404, "no such path"),
+    }
+}
+
+/// A request that we can't serve because the state service refuses us goes through a sibling.
+async fn or_sibling(
+    node: &Node,
+    here: Reply,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    passed_on: bool,
+    time: Duration,
+) -> Reply {
+    if here.status != 503 || passed_on || node.state.since_ok() < STATE_FRESH {
+        return here;
+    }
+    let request = PeerRequest::Forward {
+        method: method.into(),
+        path: path.into(),
+        body: body.to_vec(),
+    };
+    for s in &node.siblings {
+        if let Some(PeerReply::Answer { status, body }) = s.ask(&request, time / 2).await {
+            if status != 503 {
+                return Reply { status, body };
+            }
+        }
+    }
+    here
+}
+
+/// Whether this controller can serve users, itself or through a sibling. In an outage common to
+/// all it stays healthy: that isn't the node's fault, and nobody else would do better.
+async fn health(node: &Node) -> Reply {
+    let ok = || Reply::json(200, &serde_json::json!({ "healthy": true }));
+    if node.state.since_ok() < STATE_FRESH {
+        return ok();
+    }
+    for s in &node.siblings {
+        let hello = s.ask(&PeerRequest::Hello, Duration::from_millis(350)).await;
+        if matches!(hello, Some(PeerReply::Hello { .. })) {
+            return ok();
+        }
+    }
+    Reply::busy("neither the state service nor a sibling can be reached")
+}
--- /dev/null
+++ b/src/duties/leader.rs
@@ -0,0 +1,595 @@
+//! Campaigning for the leadership, and the duties of a leader: the lease, the watch on open jobs,
+//! the step loop, and carrying out what the core decides.
+
+use super::state_client::{StateError, TxnOutcome, CALL};
+use super::{lock, time_of_day_ms, Node};
+use crate::bookkeeping::records::{
+    final_key, FinalRecord, LeadRecord, OpenRecord, BATON, INTENTS, LEAD, OPEN, PROGRESS,
+};
+use crate::coordination::leadership::Authority;
+use crate::coordination::recovery::{closed_jobs_named, Inheritance};
+use crate::coordination::worker_sessions::CheckInAnswer;
+use crate::coordination::{Core, Effect, Event};
+use crate::ids::{Baton, Epoch, Hold, HostId, JobId, Millis, Stamp};
+use crate::protocol::cloud::{CloudHost, HostPage, RentReply, RentRequest, ReturnRequest};
+use crate::protocol::peers::PeerRequest;
+use crate::protocol::state::{Change, Guard, Item, Txn};
+use crate::protocol::workers::{Commands, Order, Report};
+use crate::transport::client::NoAnswer;
+use hyper::Method;
+use rand::Rng;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+/// A leadership that is going on.
+struct Active {
+    core: Core,
+    authority: Arc<Authority>,
+}
+
+/// What a worker's check-in is answered with.
+pub enum CheckIn {
+    Orders { baton: Baton, orders: Vec<Order> },
+    GoTo(Option<String>),
+}
+
+/// The leader's core, if this controller leads, and the name of whoever else does.
+#[derive(Default)]
+pub struct LeaderCell {
+    active: Mutex<Option<Active>>,
+    other: Mutex<Option<String>>,
+    wake: Notify,
+}
+
+impl LeaderCell {
+    /// Whether this controller leads at this moment.
+    pub fn leads(&self, now: Millis) -> bool {
+        lock(&self.active)
+            .as_ref()
+            .is_some_and(|a| a.authority.holds(now))
+    }
+
+    /// Makes the step loop look soon.
+    pub fn nudge(&self) {
+        self.wake.notify_one();
+    }
+
+    /// Hands the core an event; nothing if this controller doesn't lead.
+    pub fn event(&self, now: Millis, event: Event) {
+        if let Some(a) = lock(&self.active).as_mut() {
+            a.core.on(now, event);
+            self.wake.notify_one();
+        }
+    }
+
+    /// Answers a check-in. Authority is checked before the core acts and again on what it says.
+    pub fn check_in(&self, now: Millis, report: &Report) -> CheckIn {
+        if let Some(a) = lock(&self.active).as_mut() {
+            if a.authority.holds(now) {
+                let answer = a.core.check_in(now, report);
+                self.wake.notify_one();
+                return match answer {
+                    CheckInAnswer::Orders(orders) => CheckIn::Orders {
+                        baton: a.authority.baton,
+                        orders,
+                    },
+                    CheckInAnswer::Refuse => CheckIn::GoTo(None),
+                };
+            }
+        }
+        CheckIn::GoTo(lock(&self.other).clone())
+    }
+
+    /// Counts of one job, if this controller leads.
+    pub fn counts_of(&self, now: Millis, id: &JobId) -> Option<(u32, u32)> {
+        let active = lock(&self.active);
+        let a = active.as_ref().filter(|a| a.authority.holds(now))?;
+        Some(a.core.counts_of(id))
+    }
+}
+
+/// Campaigns, leads, and campaigns again, until stopped.
+pub async fn campaign(node: Arc<Node>) {
+    while !node.stop.is_cancelled() {
+        match node.state.get(LEAD).await {
+            Ok(item) => {
+                let held = item.as_ref().and_then(|i| {
+                    serde_json::from_value::<LeadRecord>(i.data.clone())
+                        .ok()
+                        .map(|r| r.host_name)
+                });
+                let mine = held.as_deref() == Some(&node.settings.platform.host_name);
+                *lock(&node.leader.other) = held.filter(|_| !mine);
+                // A leader key with our own name is that of our predecessor on this host, whose
+                // process has ended: there is no need to wait for its lease.
+                if item.is_none() || mine {
+                    let stamp = item.map(|i| i.stamp).unwrap_or_default();
+                    if let Some(won) = take_lead(&node, stamp).await {
+                        *lock(&node.leader.other) = None;
+                        lead(&node, won).await;
+                        continue;
+                    }
+                }
+            }
+            Err(_) => *lock(&node.leader.other) = None,
+        }
+        let pause = Duration::from_millis(500 + rand::rng().random_range(0..300));
+        tokio::select! {
+            _ = node.stop.cancelled() => {}
+            _ = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+struct Won {
+    baton: Baton,
+    stamp: Stamp,
+    hold: Hold,
+    authority: Arc<Authority>,
+}
+
+/// Tries to take the leader key, raising the durable baton in the same transaction.
+async fn take_lead(node: &Node, lead_stamp: Stamp) -> Option<Won> {
+    let life = node.settings.operator.leader_life_ms;
+    let sent = node.now();
+    let hold = node.state.grant(life).await.ok()?;
+    let won = take_with(node, lead_stamp, hold, sent).await;
+    if won.is_none() {
+        // A late copy of our transaction can't take the key for a lease that has ended.
+        node.state.revoke(hold).await;
+    }
+    won
+}
+
+async fn take_with(node: &Node, lead_stamp: Stamp, hold: Hold, sent: Millis) -> Option<Won> {
+    let old = node.state.get(BATON).await.ok()?;
+    let (last, baton_stamp) = match old {
+        Some(i) => (i.data.as_u64()?, i.stamp),
+        None => (0, Stamp(0)),
+    };
+    let baton = Baton(last + 1);
+    let record = LeadRecord {
+        host_name: node.settings.platform.host_name.clone(),
+        baton,
+    };
+    let txn = Txn {
+        guards: vec![
+            Guard {
+                key: LEAD.into(),
+                stamp: lead_stamp,
+            },
+            Guard {
+                key: BATON.into(),
+                stamp: baton_stamp,
+            },
+        ],
+        apply: vec![
+            Change::Put {
+                put: LEAD.into(),
+                data: serde_json::to_value(&record).ok()?,
+                hold: Some(hold),
+            },
+            Change::put(BATON.into(), baton.0.into()),
+        ],
+    };
+    let stamp = match node.state.txn(&txn).await {
+        Ok(TxnOutcome::Applied(epoch)) => Stamp(epoch.0),
+        Err(StateError::Unclear) => {
+            // Only what is read settles it: the key carries our lease and this baton, or not.
+            let item = node.state.get(LEAD).await.ok()??;
+            let record: LeadRecord = serde_json::from_value(item.data).ok()?;
+            if item.hold != Some(hold) || record.baton != baton {
+                return None;
+            }
+            item.stamp
+        }
+        _ => return None,
+    };
+    let life = Millis(node.settings.operator.leader_life_ms as i64);
+    let margin = Millis(node.settings.operator.authority_margin_ms as i64);
+    Some(Won {
+        baton,
+        stamp,
+        hold,
+        authority: Arc::new(Authority::new(baton, life, margin, sent)),
+    })
+}
+
+/// Leads until authority is lost.
+async fn lead(node: &Arc<Node>, won: Won) {
+    let end = node.stop.child_token();
+    tracing::info!(baton = %won.baton, "leading");
+    let renewing = tokio::spawn(renew(
+        node.clone(),
+        won.authority.clone(),
+        won.hold,
+        end.clone(),
+    ));
+    match inherit(node).await {
+        Some((found, epoch)) if won.authority.holds(node.now()) => {
+            let jobs = found.open.len();
+            let core =
+                Core::take_over(node.policy.clone(), won.baton, won.stamp, node.now(), found);
+            *lock(&node.leader.active) = Some(Active {
+                core,
+                authority: won.authority.clone(),
+            });
+            tracing::info!(baton = %won.baton, jobs, "took over");
+            let mut duties = tokio::task::JoinSet::new();
+            duties.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
+            duties.spawn(watch_jobs(node.clone(), epoch, end.clone()));
+            duties.spawn(list_hosts(node.clone(), end.clone()));
+            duties.spawn(tell_counts(node.clone(), end.clone()));
+            while duties.join_next().await.is_some() {}
+        }
+        _ => tracing::info!(baton = %won.baton, "could not take over"),
+    }
+    won.authority.resign();
+    *lock(&node.leader.active) = None;
+    end.cancel();
+    let _ = renewing.await;
+    tracing::info!(baton = %won.baton, "leading no more");
+    // Others needn't wait for a lease that we don't use. Everything of ours has stopped by now.
+    node.state.revoke(won.hold).await;
+}
+
+/// Touches the lease until authority is lost.
+async fn renew(node: Arc<Node>, authority: Arc<Authority>, hold: Hold, end: CancellationToken) {
+    let life = node.settings.operator.leader_life_ms;
+    let every = Duration::from_millis(life / 5);
+    loop {
+        tokio::select! {
+            _ = end.cancelled() => return,
+            _ = tokio::time::sleep(every) => {}
+        }
+        let sent = node.now();
+        match node.state.touch(hold, CALL).await {
+            Ok(()) => authority.renewed(sent),
+            Err(StateError::NoLease) => {
+                tracing::info!("the leader's lease is over");
+                authority.resign();
+            }
+            Err(_) => {}
+        }
+        if !authority.holds(node.now()) {
+            end.cancel();
+            return;
+        }
+    }
+}
+
+/// Reads everything a new leader needs. All reads come after the leader key was written, so no
+/// former leader can add an intent that we miss: its writes are guarded by the old key.
+async fn inherit(node: &Node) -> Option<(Inheritance, Epoch)> {
+    let (open, epoch) = node.state.list(OPEN).await.ok()?;
+    let (progress, _) = node.state.list(PROGRESS).await.ok()?;
+    let (intents, _) = node.state.list(INTENTS).await.ok()?;
+    let open = read_open(node, open);
+    let mut closed = Vec::new();
+    for id in closed_jobs_named(&open, &intents) {
+        if let Some(item) = node.state.get(&final_key(&id)).await.ok()? {
+            let mark: FinalRecord = serde_json::from_value(item.data).ok()?;
+            closed.push(mark);
+        }
+    }
+    let found = Inheritance {
+        open,
+        progress,
+        intents,
+        closed,
+        rigs: lock(&node.rigs).clone(),
+    };
+    Some((found, epoch))
+}
+
+fn read_open(node: &Node, items: Vec<Item>) -> Vec<(OpenRecord, Stamp, Millis)> {
+    items
+        .into_iter()
+        .filter_map(|i| {
+            let record: OpenRecord = serde_json::from_value(i.data)
+                .map_err(|e| tracing::error!(key = %i.key, error = %e, "an open job can't be read"))
+                .ok()?;
+            let submitted = submitted_at(node, &record);
+            Some((record, i.stamp, submitted))
+        })
+        .collect()
+}
+
+fn submitted_at(node: &Node, record: &OpenRecord) -> Millis {
+    let age = time_of_day_ms().saturating_sub(record.at_ms);
+    node.now() - Millis(age.min(1 << 50) as i64)
+}
+
+/// Follows open jobs, from the epoch of the list that was read.
+async fn watch_jobs(node: Arc<Node>, mut since: Epoch, end: CancellationToken) {
+    let hold = Duration::from_secs(8);
+    while !end.is_cancelled() {
+        let news = tokio::select! {
+            _ = end.cancelled() => return,
+            n = node.state.watch(OPEN, since, hold) => n,
+        };
+        match news {
+            Ok(page) => {
+                for n in page.news {
+                    if let Some(key) = &n.put {
+                        let Ok(record) = serde_json::from_value::<OpenRecord>(n.data) else {
+                            tracing::error!(key, "an open job can't be read");
+                            continue;
+                        };
+                        let submitted = submitted_at(&node, &record);
+                        let opened = Event::JobOpened {
+                            record,
+                            stamp: n.stamp,
+                            submitted,
+                        };
+                        node.leader.event(node.now(), opened);
+                    } else if let Some(id) = n.delete.as_deref().and_then(|k| k.strip_prefix(OPEN))
+                    {
+                        let id = JobId::from(id);
+                        node.leader.event(node.now(), Event::JobClosed { id });
+                    }
+                }
+                since = page.epoch;
+                // Changes come in bunches: a short pause spares requests.
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+            Err(e) => {
+                // A gap: read the whole list again rather than guess what was missed.
+                tokio::time::sleep(Duration::from_millis(300)).await;
+                if e == StateError::TooOld || e == StateError::Unclear {
+                    if let Ok((items, epoch)) = node.state.list(OPEN).await {
+                        let jobs = read_open(&node, items);
+                        node.leader.event(node.now(), Event::OpenJobs { jobs });
+                        since = epoch;
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Reads the cloud's machine list over and over.
+async fn list_hosts(node: Arc<Node>, end: CancellationToken) {
+    while !end.is_cancelled() {
+        let asked = node.now();
+        if let Some(hosts) = whole_list(&node).await {
+            node.leader.event(node.now(), Event::Hosts { asked, hosts });
+        }
+        let pause = Duration::from_millis(3000 + rand::rng().random_range(0..500));
+        tokio::select! {
+            _ = end.cancelled() => return,
+            _ = tokio::time::sleep(pause) => {}
+        }
+    }
+}
+
+async fn whole_list(node: &Node) -> Option<Vec<CloudHost>> {
+    let mut hosts: Vec<CloudHost> = Vec::new();
+    loop {
+        let since = hosts
+            .last()
+            .map_or(String::new(), |h| format!("since={}&", h.id));
+        let path = format!("/rentals?{since}most=500");
+        let a = cloud(node, Method::GET, &path, None).await.ok()?;
+        if a.0 != 200 {
+            return None;
+        }
+        let page: HostPage = serde_json::from_slice(&a.1).ok()?;
+        let more = page.more && !page.hosts.is_empty();
+        hosts.extend(page.hosts);
+        if !more {
+            return Some(hosts);
+        }
+    }
+}
+
+async fn cloud(
+    node: &Node,
+    method: Method,
+    path: &str,
+    body: Option<Vec<u8>>,
+) -> Result<(u16, bytes::Bytes), NoAnswer> {
+    let host = node.settings.platform.endpoints.cloud.to_string();
+    let deadline = Duration::from_secs(4);
+    let a = node.cloud.send(method, &host, path, body, deadline).await?;
+    Ok((a.status, a.body))
+}
+
+/// Tells siblings the task counts, for display in their answers to polls.
+async fn tell_counts(node: Arc<Node>, end: CancellationToken) {
+    let mut told = Vec::new();
+    loop {
+        tokio::select! {
+            _ = end.cancelled() => return,
+            _ = tokio::time::sleep(Duration::from_millis(1500)) => {}
+        }
+        let jobs = lock(&node.leader.active)
+            .as_ref()
+            .map_or(Vec::new(), |a| a.core.counts());
+        if jobs == told {
+            continue;
+        }
+        let request = PeerRequest::Counts { jobs: jobs.clone() };
+        for s in &node.siblings {
+            let _ = s.ask(&request, Duration::from_millis(400)).await;
+        }
+        told = jobs;
+    }
+}
+
+/// Lets the core decide, soon after events and a few times a second, and carries out its effects.
+async fn steps(node: Arc<Node>, authority: Arc<Authority>, end: CancellationToken) {
+    loop {
+        let _ = tokio::time::timeout(Duration::from_millis(250), node.leader.wake.notified()).await;
+        // Events come in bunches; one decision for all of them.
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let now = node.now();
+        if end.is_cancelled() || !authority.holds(now) {
+            end.cancel();
+            return;
+        }
+        let effects = match lock(&node.leader.active).as_mut() {
+            Some(a) => a.core.step(now),
+            None => return,
+        };
+        for effect in effects {
+            if let Effect::StepDown { why } = effect {
+                tracing::info!(why, "stepping down");
+                authority.resign();
+                end.cancel();
+                return;
+            }
+            let (node, authority, end) = (node.clone(), authority.clone(), end.clone());
+            tokio::spawn(async move {
+                // Authority is checked as each effect leaves, not only when it was decided.
+                if !end.is_cancelled() && authority.holds(node.now()) {
+                    if let Some(event) = carry_out(&node, &authority, effect).await {
+                        if !end.is_cancelled() {
+                            node.leader.event_of(node.now(), authority.baton, event);
+                        }
+                    }
+                }
+            });
+        }
+    }
+}
+
+impl LeaderCell {
+    /// Hands over an outcome, if the leadership that asked for it is still the one going on.
+    fn event_of(&self, now: Millis, baton: Baton, event: Event) {
+        let same = lock(&self.active)
+            .as_ref()
+            .is_some_and(|a| a.authority.baton == baton);
+        if same {
+            self.event(now, event);
+        }
+    }
+}
+
+async fn carry_out(node: &Node, authority: &Authority, effect: Effect) -> Option<Event> {
+    match effect {
+        Effect::Write { seq, txn } => Some(match node.state.txn(&txn).await {
+            Ok(TxnOutcome::Applied(epoch)) => Event::Written { seq, epoch },
+            Err(StateError::Refused) => Event::NotWritten { seq },
+            _ => Event::WriteUnclear { seq },
+        }),
+        Effect::Reread { seq, keys } => {
+            let mut items = Vec::new();
+            for key in keys {
+                items.push((key.clone(), read_surely(node, authority, &key).await?));
+            }
+            Some(Event::Reread { seq, items })
+        }
+        Effect::Direct {
+            host,
+            endpoint,
+            seq,
+            tenure,
+            orders,
+        } => {
+            let commands = Commands {
+                baton: authority.baton,
+                tenure,
+                orders,
+            };
+            Some(direct(node, host, &endpoint, seq, &commands).await)
+        }
+        Effect::Rent {
+            hire,
+            rig,
+            site,
+            spot,
+            count,
+        } => {
+            let request = RentRequest {
+                hire: hire.clone(),
+                rig,
+                site,
+                spot,
+                count,
+            };
+            Some(rent(node, hire, &request).await)
+        }
+        Effect::Return { hosts } => {
+            let request = ReturnRequest {
+                hosts: hosts.clone(),
+            };
+            let body = serde_json::to_vec(&request).ok()?;
+            Some(
+                match cloud(node, Method::POST, "/rentals/return", Some(body)).await {
+                    Ok((200, _)) => Event::Returned { hosts },
+                    _ => Event::ReturnFailed { hosts },
+                },
+            )
+        }
+        Effect::StepDown { .. } => None,
+    }
+}
+
+/// Reads a key, again and again while we lead.
+async fn read_surely(node: &Node, authority: &Authority, key: &str) -> Option<Option<Item>> {
+    loop {
+        match node.state.get(key).await {
+            Ok(item) => return Some(item),
+            Err(_) if !authority.holds(node.now()) => return None,
+            Err(_) => {
+                let ms = 150 + rand::rng().random_range(0..150);
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+            }
+        }
+    }
+}
+
+async fn direct(node: &Node, host: HostId, endpoint: &str, seq: u64, commands: &Commands) -> Event {
+    let body = serde_json::to_vec(commands).unwrap_or_default();
+    let deadline = Duration::from_millis(2500);
+    let sent = node
+        .workers
+        .send(Method::POST, endpoint, "/commands", Some(body), deadline)
+        .await;
+    match sent {
+        Ok(a) if a.status == 200 || a.status == 409 => {
+            match serde_json::from_slice::<Report>(&a.body) {
+                Ok(report) => Event::DirectAnswered {
+                    host,
+                    seq,
+                    report: Box::new(report),
+                },
+                Err(_) => Event::DirectFailed {
+                    host,
+                    seq,
+                    sent: true,
+                },
+            }
+        }
+        Ok(_) => Event::DirectFailed {
+            host,
+            seq,
+            sent: true,
+        },
+        Err(e) => Event::DirectFailed {
+            host,
+            seq,
+            sent: e != NoAnswer::NotSent,
+        },
+    }
+}
+
+async fn rent(node: &Node, hire: String, request: &RentRequest) -> Event {
+    let body = serde_json::to_vec(request).unwrap_or_default();
+    match cloud(node, Method::POST, "/rentals", Some(body)).await {
+        Ok((200, body)) => match serde_json::from_slice::<RentReply>(&body) {
+            Ok(r) => Event::Rented {
+                hire,
+                hosts: Some(r.hosts),
+            },
+            Err(_) => Event::RentUnclear { hire },
+        },
+        Ok((503, body)) if String::from_utf8_lossy(&body).contains("no capacity") => {
+            Event::Rented { hire, hosts: None }
+        }
+        _ => Event::RentUnclear { hire },
+    }
+}
--- /dev/null
+++ b/src/duties/mod.rs
@@ -0,0 +1,125 @@
+//! The long-lived duties of one controller: all I/O around the decision core.
+
+pub mod catalog;
+pub mod front;
+pub mod leader;
+pub mod peers;
+pub mod state_client;
+pub mod users;
+
+use crate::coordination::Policy;
+use crate::ids::{JobId, Millis};
+use crate::protocol::cloud::RigInfo;
+use crate::settings::Settings;
+use crate::transport::client::Client;
+use crate::transport::peer::PeerClient;
+use leader::LeaderCell;
+use state_client::StateClient;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio_util::sync::CancellationToken;
+
+/// What the duties of one controller share.
+pub struct Node {
+    pub settings: Settings,
+    pub policy: Arc<Policy>,
+    pub state: StateClient,
+    pub cloud: Client,
+    pub workers: Client,
+    pub siblings: Vec<PeerClient>,
+    pub leader: LeaderCell,
+    pub rigs: Mutex<Vec<RigInfo>>,
+    /// Task counts as the leader last told, for display.
+    pub counts: Mutex<BTreeMap<JobId, (u32, u32)>>,
+    pub finals: Mutex<users::FinalCache>,
+    pub user_slots: tokio::sync::Semaphore,
+    pub stop: CancellationToken,
+    began: Instant,
+}
+
+impl Node {
+    /// The steady clock, in milliseconds since the process began.
+    pub fn now(&self) -> Millis {
+        Millis(self.began.elapsed().as_millis() as i64)
+    }
+}
+
+/// Time of day, in milliseconds; for deadlines only.
+pub fn time_of_day_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis() as u64)
+}
+
+/// A lock whose data stays usable whatever happened to an earlier holder.
+pub fn lock<T>(m: &Mutex<T>) -> MutexGuard<'_, T> {
+    m.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+/// Why a controller can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    #[error("the runtime cannot be built: {0}")]
+    Runtime(std::io::Error),
+    #[error("cannot listen on {what} {addr}: {why}")]
+    Listen {
+        what: &'static str,
+        addr: std::net::SocketAddr,
+        why: std::io::Error,
+    },
+}
+
+/// Runs a controller until its process is killed.
+pub fn run(settings: Settings) -> Result<(), StartError> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(StartError::Runtime)?
+        .block_on(serve(settings, CancellationToken::new()))
+}
+
+/// Runs a controller until the token is cancelled.
+pub async fn serve(settings: Settings, stop: CancellationToken) -> Result<(), StartError> {
+    let p = &settings.platform;
+    let front_socket = listen("front", p.front).await?;
+    let peer_socket = listen("peer_bind", p.peer_bind).await?;
+    tracing::info!(name = %p.host_name, zone = %p.location, front = %p.front, "controller starts");
+    let connect = Duration::from_millis(700);
+    let node = Arc::new(Node {
+        policy: Arc::new(Policy::new(&settings)),
+        state: StateClient::new(p.endpoints.state.to_string()),
+        cloud: Client::new(connect, 2),
+        workers: Client::new(connect, 1),
+        siblings: p.siblings.iter().map(|s| PeerClient::new(s.addr)).collect(),
+        leader: LeaderCell::default(),
+        rigs: Mutex::new(Vec::new()),
+        counts: Mutex::new(BTreeMap::new()),
+        finals: Mutex::new(users::FinalCache::default()),
+        user_slots: tokio::sync::Semaphore::new(settings.operator.max_user_requests),
+        stop: stop.clone(),
+        began: Instant::now(),
+        settings,
+    });
+    let duties = [
+        tokio::spawn(front::serve(node.clone(), front_socket)),
+        tokio::spawn(peers::serve(node.clone(), peer_socket)),
+        tokio::spawn(catalog::keep(node.clone())),
+        tokio::spawn(leader::campaign(node.clone())),
+    ];
+    for d in duties {
+        if let Err(e) = d.await {
+            tracing::error!(error = %e, "a duty ended");
+        }
+    }
+    Ok(())
+}
+
+async fn listen(
+    what: &'static str,
+    addr: std::net::SocketAddr,
+) -> Result<tokio::net::TcpListener, StartError> {
+    tokio::net::TcpListener::bind(addr)
+        .await
+        .map_err(|why| StartError::Listen { what, addr, why })
+}
--- /dev/null
+++ b/src/duties/state_client.rs
@@ -0,0 +1,200 @@
+//! Typed calls to the state service. Every failure says whether the request can have been executed.
+
+use crate::ids::{Epoch, Hold};
+use crate::protocol::state::{AtEpoch, Granted, Item, NewsPage, Page, Txn};
+use crate::transport::client::{Answer, Client, NoAnswer};
+use hyper::Method;
+use serde::de::DeserializeOwned;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::time::{Duration, Instant};
+
+/// Why a call brought no result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StateError {
+    /// Certainly not executed, nor will be.
+    Refused,
+    /// May have been executed, or may yet be.
+    Unclear,
+    /// A watch began too far back.
+    TooOld,
+    /// The lease is over.
+    NoLease,
+}
+
+/// The outcome of a transaction that was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TxnOutcome {
+    Applied(Epoch),
+    /// A guard failed.
+    Conflict,
+}
+
+/// Time allowed for one ordinary call. Answers usually take milliseconds.
+pub const CALL: Duration = Duration::from_millis(900);
+
+/// The client.
+pub struct StateClient {
+    http: Client,
+    addr: String,
+    began: Instant,
+    last_ok_ms: AtomicI64,
+}
+
+impl StateClient {
+    /// A client for the service at the address.
+    pub fn new(addr: String) -> Self {
+        StateClient {
+            http: Client::new(Duration::from_millis(600), 8),
+            addr,
+            began: Instant::now(),
+            last_ok_ms: AtomicI64::new(-1_000_000),
+        }
+    }
+
+    /// How long ago the service last served us.
+    pub fn since_ok(&self) -> Duration {
+        let now = self.began.elapsed().as_millis() as i64;
+        Duration::from_millis((now - self.last_ok_ms.load(Ordering::Relaxed)).max(0) as u64)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<Vec<u8>>,
+        deadline: Duration,
+    ) -> Result<Answer, StateError> {
+        let read_only = method == Method::GET;
+        match self
+            .http
+            .send(method, &self.addr, path, body, deadline)
+            .await
+        {
+            Ok(a) if a.status == 503 || a.status == 429 => {
+                if a.status == 429 {
+                    tracing::info!(path, "the state service limits our rate");
+                }
+                Err(StateError::Refused)
+            }
+            Ok(a) => {
+                let now = self.began.elapsed().as_millis() as i64;
+                self.last_ok_ms.store(now, Ordering::Relaxed);
+                Ok(a)
+            }
+            Err(NoAnswer::NotSent) => Err(StateError::Refused),
+            Err(NoAnswer::Unclear) if read_only => Err(StateError::Refused),
+            Err(NoAnswer::Unclear) => Err(StateError::Unclear),
+        }
+    }
+
+    fn read<T: DeserializeOwned>(a: &Answer) -> Result<T, StateError> {
+        serde_json::from_slice(&a.body).map_err(|e| {
+            tracing::error!(status = a.status, error = %e, "an answer of the state service can't be read");
+            StateError::Unclear
+        })
+    }
+
+    /// One key; None if it is absent. Linearizable.
+    pub async fn get(&self, key: &str) -> Result<Option<Item>, StateError> {
+        let a = self
+            .call(Method::GET, &format!("/store/{key}"), None, CALL)
+            .await?;
+        match a.status {
+            200 => Self::read(&a).map(Some),
+            404 => Ok(None),
+            _ => Err(StateError::Refused),
+        }
+    }
+
+    /// All keys with the prefix, and the epoch before which every change is included. Later
+    /// changes may be too: take changes from that epoch on, they are the same again.
+    pub async fn list(&self, prefix: &str) -> Result<(Vec<Item>, Epoch), StateError> {
+        let mut items: Vec<Item> = Vec::new();
+        let mut first = None;
+        loop {
+            let since = items
+                .last()
+                .map_or(String::new(), |i| format!("&since={}", i.key));
+            let path = format!("/store?prefix={prefix}{since}&most=1000");
+            let a = self
+                .call(Method::GET, &path, None, Duration::from_millis(2500))
+                .await?;
+            if a.status != 200 {
+                return Err(StateError::Refused);
+            }
+            let page: Page = Self::read(&a)?;
+            let epoch = *first.get_or_insert(page.epoch);
+            let more = page.more && !page.pairs.is_empty();
+            items.extend(page.pairs);
+            if !more {
+                return Ok((items, epoch));
+            }
+        }
+    }
+
+    /// All or nothing.
+    pub async fn txn(&self, txn: &Txn) -> Result<TxnOutcome, StateError> {
+        let body = serde_json::to_vec(txn).map_err(|_| StateError::Refused)?;
+        let a = self.call(Method::POST, "/multi", Some(body), CALL).await?;
+        match a.status {
+            200 => Ok(TxnOutcome::Applied(Self::read::<AtEpoch>(&a)?.epoch)),
+            409 => Ok(TxnOutcome::Conflict),
+            400 => {
+                let text = String::from_utf8_lossy(&a.body);
+                if text.contains("no such lease") {
+                    return Err(StateError::NoLease);
+                }
+                tracing::error!(answer = %text, "the state service calls a transaction malformed");
+                Err(StateError::Refused)
+            }
+            _ => Err(StateError::Unclear),
+        }
+    }
+
+    /// A new lease.
+    pub async fn grant(&self, life_ms: u64) -> Result<Hold, StateError> {
+        let body = format!("{{\"lifeMs\":{life_ms}}}").into_bytes();
+        let a = self.call(Method::POST, "/grants", Some(body), CALL).await?;
+        if a.status != 200 {
+            return Err(StateError::Unclear);
+        }
+        Ok(Self::read::<Granted>(&a)?.hold)
+    }
+
+    /// Renews a lease.
+    pub async fn touch(&self, hold: Hold, deadline: Duration) -> Result<(), StateError> {
+        let path = format!("/grants/{hold}/touch");
+        let a = self
+            .call(Method::POST, &path, Some(b"{}".to_vec()), deadline)
+            .await?;
+        match a.status {
+            200 => Ok(()),
+            404 => Err(StateError::NoLease),
+            _ => Err(StateError::Unclear),
+        }
+    }
+
+    /// Ends a lease.
+    pub async fn revoke(&self, hold: Hold) {
+        let path = format!("/grants/{hold}");
+        let _ = self.call(Method::DELETE, &path, None, CALL).await;
+    }
+
+    /// Waits for changes under the prefix after the epoch.
+    pub async fn watch(
+        &self,
+        prefix: &str,
+        since: Epoch,
+        hold: Duration,
+    ) -> Result<NewsPage, StateError> {
+        let ms = hold.as_millis();
+        let path = format!("/watch?prefix={prefix}&since={since}&holdMs={ms}");
+        let deadline = hold + Duration::from_secs(2);
+        let a = self.call(Method::GET, &path, None, deadline).await?;
+        match a.status {
+            200 => Self::read(&a),
+            410 => Err(StateError::TooOld),
+            _ => Err(StateError::Refused),
+        }
+    }
+}
--- /dev/null
+++ b/src/duties/users.rs
@@ -0,0 +1,281 @@
+//! Users' requests, straight on the state service: any controller accepts, reads or cancels a job.
+//! What is answered is read from there, never from a memory that may be out of date; only final
+//! states, which can't change, are kept.
+
+use super::front::Reply;
+use super::state_client::{StateError, TxnOutcome};
+use super::{lock, time_of_day_ms, Node};
+use crate::bookkeeping::ledger::{within, Amount};
+use crate::bookkeeping::records::{final_key, open_key, FinalRecord, OpenRecord};
+use crate::ids::{JobId, Stamp};
+use crate::protocol::cloud::RigInfo;
+use crate::protocol::state::{Change, Guard, Txn};
+use crate::protocol::users::{
+    parse_submission, Accepted, JobPhase, JobSpec, Malformed, Shape, Status,
+};
+use crate::settings::Team;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// Users wait 5 s for submissions and cancellations, 2 s for polls; we answer before that.
+pub const SUBMIT: Duration = Duration::from_millis(4000);
+pub const POLL: Duration = Duration::from_millis(1700);
+
+/// Final states seen lately. Bounded: the oldest goes.
+#[derive(Default)]
+pub struct FinalCache {
+    known: BTreeMap<JobId, (JobPhase, u32)>,
+    order: VecDeque<JobId>,
+}
+
+const MOST_FINALS: usize = 20_000;
+
+impl FinalCache {
+    fn get(&self, id: &JobId) -> Option<(JobPhase, u32)> {
+        self.known.get(id).copied()
+    }
+    fn put(&mut self, id: &JobId, phase: JobPhase, pieces: u32) {
+        if self.known.insert(id.clone(), (phase, pieces)).is_none() {
+            self.order.push_back(id.clone());
+            if self.order.len() > MOST_FINALS {
+                if let Some(old) = self.order.pop_front() {
+                    self.known.remove(&old);
+                }
+            }
+        }
+    }
+}
+
+/// What the state service says of a job.
+enum Found {
+    Open { stamp: Stamp, spec: Box<JobSpec> },
+    Final { phase: JobPhase, pieces: u32 },
+    Never,
+}
+
+/// Reads a job: first the open record, then the finish mark. Accepting writes the first, ending
+/// moves it to the second in one transaction, so a job that was ever accepted is found.
+async fn find(node: &Node, id: &JobId) -> Result<Found, StateError> {
+    if let Some((phase, pieces)) = lock(&node.finals).get(id) {
+        return Ok(Found::Final { phase, pieces });
+    }
+    if let Some(item) = node.state.get(&open_key(id)).await? {
+        let record: OpenRecord =
+            serde_json::from_value(item.data).map_err(|_| StateError::Refused)?;
+        return Ok(Found::Open {
+            stamp: item.stamp,
+            spec: Box::new(record.spec),
+        });
+    }
+    match node.state.get(&final_key(id)).await? {
+        None => Ok(Found::Never),
+        Some(item) => {
+            let mark: FinalRecord =
+                serde_json::from_value(item.data).map_err(|_| StateError::Refused)?;
+            lock(&node.finals).put(id, mark.phase, mark.spec.pieces);
+            Ok(Found::Final {
+                phase: mark.phase,
+                pieces: mark.spec.pieces,
+            })
+        }
+    }
+}
+
+/// The phase of an open job, from the leader's counts: for display only.
+fn open_status(node: &Node, id: &JobId) -> (JobPhase, u32, u32) {
+    let (done, running) = match node.leader.counts_of(node.now(), id) {
+        Some(c) => c,
+        None => lock(&node.counts).get(id).copied().unwrap_or((0, 0)),
+    };
+    let phase = if running > 0 {
+        JobPhase::Running
+    } else {
+        JobPhase::Queued
+    };
+    (phase, done, running)
+}
+
+fn accepted(status: u16, id: &JobId, phase: JobPhase) -> Reply {
+    Reply::json(status, &Accepted { id, phase })
+}
+
+/// If the job is known already, its current state is the answer, whatever else is wrong.
+async fn if_known(node: &Node, id: Option<&JobId>, otherwise: Reply) -> Reply {
+    let Some(id) = id else { return otherwise };
+    match find(node, id).await {
+        Ok(Found::Open { .. }) => accepted(200, id, open_status(node, id).0),
+        Ok(Found::Final { phase, .. }) => accepted(200, id, phase),
+        Ok(Found::Never) => otherwise,
+        Err(_) => Reply::busy("the state service can't be reached"),
+    }
+}
+
+/// Why a job can never run here; None if it can.
+pub fn never_runs(spec: &JobSpec, rigs: &[RigInfo], teams: &[Team]) -> Option<String> {
+    let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
+        return Some("unknown team".into());
+    };
+    let need = Amount::of(spec);
+    let fits = rigs.iter().any(|r| {
+        let room = Amount {
+            cpus: r.cpus,
+            gpus: r.gpus,
+            ram_gb: r.ram_gb,
+        };
+        need.fits(&room)
+            && spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name))
+            && spec.site.as_ref().is_none_or(|s| r.sites.contains(s))
+    });
+    if !fits {
+        return Some("a task fits no allowed machine type".into());
+    }
+    let n = match spec.shape {
+        Shape::Array => 1,
+        Shape::Gang | Shape::Service => spec.pieces,
+    };
+    let all = need.times(f64::from(n));
+    if !within(all.cpus, team.cpus_max) || !within(all.gpus, team.gpus_max) {
+        return Some("needs more than the team's limit".into());
+    }
+    None
+}
+
+/// `POST /submissions`.
+pub async fn submit(node: &Node, body: &[u8]) -> Reply {
+    let spec = match parse_submission(body) {
+        Ok(s) => s,
+        Err(Malformed { id, reason }) => {
+            return if_known(node, id.as_ref(), Reply::error(400, &reason)).await;
+        }
+    };
+    let id = spec.id.clone();
+    let rigs = lock(&node.rigs).clone();
+    if rigs.is_empty() {
+        let not_yet = Reply::busy("machine types are not known yet");
+        return if_known(node, Some(&id), not_yet).await;
+    }
+    if let Some(reason) = never_runs(&spec, &rigs, &node.policy.facts.teams) {
+        return if_known(node, Some(&id), Reply::error(422, &reason)).await;
+    }
+    let record = OpenRecord {
+        spec,
+        at_ms: time_of_day_ms(),
+        after: Vec::new(),
+    };
+    let Ok(data) = serde_json::to_value(&record) else {
+        return Reply::error(400, "can't be stored");
+    };
+    if data.to_string().len() as f64 > node.policy.facts.state.value_kb * 1024.0 * 0.9 {
+        return Reply::error(400, "too long a description");
+    }
+    let absent = |key| Guard {
+        key,
+        stamp: Stamp(0),
+    };
+    let txn = Txn {
+        guards: vec![absent(open_key(&id)), absent(final_key(&id))],
+        apply: vec![Change::put(open_key(&id), data)],
+    };
+    match node.state.txn(&txn).await {
+        Ok(TxnOutcome::Applied(epoch)) => {
+            node.leader.nudge();
+            tracing::debug!(job = %id, epoch = %epoch, "accepted");
+            accepted(201, &id, JobPhase::Queued)
+        }
+        // Known already, or an unclear outcome: settled by reading before anything is answered.
+        Ok(TxnOutcome::Conflict) | Err(StateError::Unclear) => {
+            let unsettled = Reply::busy("the outcome is not known yet");
+            if_known(node, Some(&id), unsettled).await
+        }
+        Err(_) => Reply::busy("the state service can't be reached"),
+    }
+}
+
+/// `GET /submissions/{id}`.
+pub async fn poll(node: &Node, id: &str) -> Reply {
+    let Some(id) = JobId::parse(id) else {
+        return Reply::error(404, "no such job");
+    };
+    let found = tokio::time::timeout(POLL, find(node, &id)).await;
+    match found {
+        Ok(Ok(Found::Open { spec, .. })) => {
+            let (phase, done, running) = open_status(node, &id);
+            Reply::json(
+                200,
+                &Status {
+                    id: &id,
+                    phase,
+                    done: done.min(spec.pieces),
+                    running,
+                },
+            )
+        }
+        Ok(Ok(Found::Final { phase, pieces })) => {
+            let done = if phase == JobPhase::Done { pieces } else { 0 };
+            Reply::json(
+                200,
+                &Status {
+                    id: &id,
+                    phase,
+                    done,
+                    running: 0,
+                },
+            )
+        }
+        Ok(Ok(Found::Never)) => Reply::error(404, "no such job"),
+        Ok(Err(_)) | Err(_) => Reply::busy("the state service can't be reached"),
+    }
+}
+
+/// `POST /submissions/{id}/withdraw`. Cancelling and finishing are both guarded by the version of
+/// the open record, so that exactly one of them wins.
+pub async fn cancel(node: &Node, id: &str) -> Reply {
+    let Some(id) = JobId::parse(id) else {
+        return Reply::error(404, "no such job");
+    };
+    let began = Instant::now();
+    while began.elapsed() < SUBMIT / 2 {
+        let (stamp, spec) = match find(node, &id).await {
+            Ok(Found::Open { stamp, spec }) => (stamp, spec),
+            Ok(Found::Final { phase, .. }) => return accepted(200, &id, phase),
+            Ok(Found::Never) => return Reply::error(404, "no such job"),
+            Err(_) => break,
+        };
+        let pieces = spec.pieces;
+        let mark = FinalRecord {
+            phase: JobPhase::Cancelled,
+            spec: *spec,
+        };
+        let Ok(data) = serde_json::to_value(&mark) else {
+            break;
+        };
+        let txn = Txn {
+            guards: vec![
+                Guard {
+                    key: open_key(&id),
+                    stamp,
+                },
+                Guard {
+                    key: final_key(&id),
+                    stamp: Stamp(0),
+                },
+            ],
+            apply: vec![
+                Change::Delete {
+                    delete: open_key(&id),
+                },
+                Change::put(final_key(&id), data),
+            ],
+        };
+        match node.state.txn(&txn).await {
+            Ok(TxnOutcome::Applied(_)) => {
+                lock(&node.finals).put(&id, JobPhase::Cancelled, pieces);
+                node.leader.nudge();
+                return accepted(200, &id, JobPhase::Cancelled);
+            }
+            Ok(TxnOutcome::Conflict) | Err(StateError::Unclear) => continue,
+            Err(_) => break,
+        }
+    }
+    Reply::busy("the state service can't be reached")
+}
--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,149 @@
+//! Ids, versions and times as small types of their own, so that none is mistaken for another.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::sync::Arc;
+
+/// A point or span on the steady clock of this process, in milliseconds.
+///
+/// Signed, because a job may have been submitted before this process began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Millis(pub i64);
+
+impl Millis {
+    /// A span from seconds; not-finite or absurd values are clamped rather than wrapped.
+    pub fn from_secs(s: f64) -> Self {
+        Millis((s * 1000.0).clamp(-9.0e15, 9.0e15) as i64)
+    }
+    /// The span in seconds.
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+}
+
+impl Add for Millis {
+    type Output = Millis;
+    fn add(self, o: Millis) -> Millis {
+        Millis(self.0.saturating_add(o.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Millis;
+    fn sub(self, o: Millis) -> Millis {
+        Millis(self.0.saturating_sub(o.0))
+    }
+}
+
+macro_rules! number {
+    ($(#[$m:meta])* $name:ident) => {
+        $(#[$m])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+number!(/// Names the controller entitled to command; unique and increasing for ever.
+    Baton);
+number!(/// A worker's session; a new one begins when its lease ran out.
+    Tenure);
+number!(/// Orders a worker's messages within a tenure.
+    Tick);
+number!(/// Tells one start of a task from another; never used twice for a task.
+    Try);
+number!(/// The version of one key on the state service; 0 means absent.
+    Stamp);
+number!(/// The revision of the whole state service.
+    Epoch);
+number!(/// A lease held on the state service.
+    Hold);
+
+macro_rules! name {
+    ($(#[$m:meta])* $name:ident) => {
+        $(#[$m])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub Arc<str>);
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+        impl From<&str> for $name {
+            fn from(s: &str) -> Self {
+                $name(Arc::from(s))
+            }
+        }
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name!(/// A job's id, chosen by its user.
+    JobId);
+name!(/// A rented machine.
+    HostId);
+name!(/// A machine type.
+    Rig);
+name!(/// A zone.
+    Site);
+
+impl JobId {
+    /// Reads an id as users write it: `wk-` and digits; anything else is no job's id.
+    pub fn parse(s: &str) -> Option<JobId> {
+        let digits = s.strip_prefix("wk-")?;
+        let plain =
+            !digits.is_empty() && digits.len() <= 40 && digits.bytes().all(|b| b.is_ascii_digit());
+        plain.then(|| JobId::from(s))
+    }
+}
+
+/// One task of a job, written `wk-000412/3`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PieceId {
+    /// The job.
+    pub job: JobId,
+    /// The task's number within the job, from 0.
+    pub index: u32,
+}
+
+impl PieceId {
+    /// Reads the wire form.
+    pub fn parse(s: &str) -> Option<PieceId> {
+        let (job, index) = s.rsplit_once('/')?;
+        Some(PieceId {
+            job: JobId::parse(job)?,
+            index: index.parse().ok()?,
+        })
+    }
+}
+
+impl fmt::Display for PieceId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+impl Serialize for PieceId {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for PieceId {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        let s = String::deserialize(d)?;
+        PieceId::parse(&s).ok_or_else(|| serde::de::Error::custom("not a task id"))
+    }
+}
--- /dev/null
+++ b/src/protocol/cloud.rs
@@ -0,0 +1,91 @@
+//! Controllers -> cloud.
+
+use crate::ids::{HostId, Rig, Site};
+use serde::{Deserialize, Serialize};
+
+/// A machine type.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RigInfo {
+    #[serde(rename = "sku")]
+    pub name: Rig,
+    pub cpus: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(rename = "ramGb")]
+    pub ram_gb: f64,
+    #[serde(rename = "localGb", default)]
+    pub cache_gb: f64,
+    #[serde(rename = "fetchGbPerS", default)]
+    pub fetch_gb_per_s: f64,
+    #[serde(rename = "hourly", default)]
+    pub price: f64,
+    #[serde(rename = "marketPrice", default)]
+    pub spot_price: f64,
+    #[serde(rename = "bootS", default)]
+    pub boot_s: f64,
+    pub sites: Vec<Site>,
+}
+
+/// The answer of `GET /machine_types`; also kept under one key on the state service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RigList {
+    pub rigs: Vec<RigInfo>,
+}
+
+/// A request to rent; `hire` is never reused for anything else.
+#[derive(Clone, Debug, Serialize)]
+pub struct RentRequest {
+    pub hire: String,
+    pub rig: Rig,
+    pub site: Site,
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    #[serde(rename = "number")]
+    pub count: u32,
+}
+
+/// The machines rented.
+#[derive(Clone, Debug, Deserialize)]
+pub struct RentReply {
+    pub hosts: Vec<HostId>,
+}
+
+/// A request to give machines back.
+#[derive(Clone, Debug, Serialize)]
+pub struct ReturnRequest {
+    pub hosts: Vec<HostId>,
+}
+
+/// How the cloud sees a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CloudPhase {
+    Starting,
+    Failed,
+    #[serde(other)]
+    Running,
+}
+
+/// One line of the machine list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct CloudHost {
+    #[serde(rename = "ref")]
+    pub id: HostId,
+    #[serde(default)]
+    pub endpoint: String,
+    pub rig: Rig,
+    pub site: Site,
+    #[serde(rename = "loaners", default)]
+    pub spot: bool,
+    pub phase: CloudPhase,
+    #[serde(rename = "heldS", default)]
+    pub age_s: f64,
+}
+
+/// One page of the machine list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HostPage {
+    pub hosts: Vec<CloudHost>,
+    #[serde(rename = "hasNext", default)]
+    pub more: bool,
+}
--- /dev/null
+++ b/src/protocol/peers.rs
@@ -0,0 +1,27 @@
+//! Controllers <-> controllers, as postcard in length-delimited frames.
+
+use crate::ids::JobId;
+use serde::{Deserialize, Serialize};
+
+/// What one controller asks of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerRequest {
+    /// Is the state service reachable from where you are?
+    Hello,
+    /// Answer this user's request for me: the state service refuses me. Never passed on again.
+    Forward {
+        method: String,
+        path: String,
+        body: Vec<u8>,
+    },
+    /// Task counts for display, from the leader; replaces the previous list.
+    Counts { jobs: Vec<(JobId, u32, u32)> },
+}
+
+/// The answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerReply {
+    Hello { state_ok: bool },
+    Answer { status: u16, body: Vec<u8> },
+    Noted,
+}
--- /dev/null
+++ b/src/protocol/workers.rs
@@ -0,0 +1,113 @@
+//! Workers <-> controllers: reports and orders.
+
+use crate::ids::{Baton, HostId, PieceId, Rig, Site, Tenure, Tick, Try};
+use serde::{Deserialize, Serialize};
+
+/// What a worker says of itself, in check-ins and in the answers of `/commands` and `/inspect`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    pub host: HostId,
+    pub endpoint: String,
+    pub rig: Rig,
+    pub site: Site,
+    #[serde(rename = "loaners", default)]
+    pub spot: bool,
+    pub tenure: Tenure,
+    pub tick: Tick,
+    #[serde(default)]
+    pub baton: Baton,
+    #[serde(rename = "recallS", default)]
+    pub recall_s: Option<f64>,
+    #[serde(default)]
+    pub pieces: Vec<PieceReport>,
+}
+
+/// One task on a machine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PieceReport {
+    pub piece: PieceId,
+    #[serde(rename = "try")]
+    pub attempt: Try,
+    pub phase: PiecePhase,
+    #[serde(default)]
+    pub cause: Option<Cause>,
+    #[serde(default)]
+    pub stored: bool,
+}
+
+/// How far a task is. Unknown phases count as present and running: the careful reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PiecePhase {
+    #[serde(rename = "pulling")]
+    Fetching,
+    Waiting,
+    Saving,
+    #[serde(rename = "ended")]
+    Ended,
+    #[serde(other)]
+    Running,
+}
+
+/// Why a task ended. Unknown causes count as errors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    Done,
+    #[serde(rename = "halted")]
+    Stopped,
+    #[serde(rename = "mates_gone")]
+    MatesGone,
+    Incomplete,
+    Full,
+    Busy,
+    #[serde(rename = "no_such")]
+    Unknown,
+    #[serde(other)]
+    Error,
+}
+
+/// One order to a worker.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "lowercase")]
+pub enum Order {
+    Launch {
+        piece: PieceId,
+        #[serde(rename = "try")]
+        attempt: Try,
+    },
+    Stop {
+        piece: PieceId,
+        #[serde(rename = "try")]
+        attempt: Try,
+        #[serde(rename = "windDownS")]
+        grace_s: f64,
+    },
+    Clear {
+        piece: PieceId,
+        #[serde(rename = "try")]
+        attempt: Try,
+    },
+}
+
+/// The body of a 200 to a check-in.
+#[derive(Serialize)]
+pub struct CheckInReply {
+    pub baton: Baton,
+    pub orders: Vec<Order>,
+}
+
+/// The body of a 421.
+#[derive(Serialize)]
+pub struct GoElsewhere<'a> {
+    #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
+    pub leader: Option<&'a str>,
+}
+
+/// The body of `POST /commands`.
+#[derive(Clone, Debug, Serialize)]
+pub struct Commands {
+    pub baton: Baton,
+    pub tenure: Tenure,
+    pub orders: Vec<Order>,
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,298 @@
+//! The platform's settings file (TOML, unknown fields ignored) and the operators' own (JSON with a
+//! schema, unknown fields refused, every field with a built-in default).
+
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// Why the settings can't be used: file, field and reason.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[error("{file}: cannot be read: {why}")]
+    Read { file: PathBuf, why: std::io::Error },
+    /// The file isn't of the right form; the message names the field.
+    #[error("{file}: {why}")]
+    Form { file: PathBuf, why: String },
+    /// A value is outside what makes sense.
+    #[error("{file}: field `{field}`: {why}")]
+    Value {
+        file: PathBuf,
+        field: String,
+        why: String,
+    },
+}
+
+/// The file that the platform hands over.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Platform {
+    pub host_name: String,
+    pub location: String,
+    pub front: SocketAddr,
+    pub peer_bind: SocketAddr,
+    #[serde(default)]
+    pub siblings: Vec<Sibling>,
+    pub endpoints: Endpoints,
+    pub facts: Facts,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Sibling {
+    pub host_name: String,
+    pub location: String,
+    pub addr: SocketAddr,
+}
+
+/// Where the outside services are.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Endpoints {
+    pub cloud: SocketAddr,
+    pub state: SocketAddr,
+}
+
+/// What is known of the deployment.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Facts {
+    #[serde(default)]
+    pub clock_error_ms: f64,
+    pub teams: Vec<Team>,
+    #[serde(default)]
+    pub objectives: Vec<Objective>,
+    pub workers: Workers,
+    pub state: StateLimits,
+    pub cloud: CloudLimits,
+    pub quota: Quota,
+}
+
+/// A team's guarantee and limit; 0 means none.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Team {
+    pub name: String,
+    #[serde(default)]
+    pub cpus: f64,
+    #[serde(default)]
+    pub cpus_max: f64,
+    #[serde(default)]
+    pub gpus: f64,
+    #[serde(default)]
+    pub gpus_max: f64,
+}
+
+/// An aim, as the platform repeats it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Objective {
+    pub kind: String,
+    #[serde(default)]
+    pub class: Option<String>,
+    #[serde(default)]
+    pub within_s: Option<f64>,
+}
+
+/// What workers go by.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Workers {
+    pub report_s: f64,
+    pub lease_s: f64,
+    pub gang_wait_s: f64,
+    pub gang_peer_s: f64,
+    pub cancel_s: f64,
+}
+
+/// What the state service allows all controllers together.
+#[derive(Debug, Clone, Deserialize)]
+pub struct StateLimits {
+    pub rps: f64,
+    pub write_rps: f64,
+    pub value_kb: f64,
+    pub txn_ops: usize,
+}
+
+/// What the cloud allows.
+#[derive(Debug, Clone, Deserialize)]
+pub struct CloudLimits {
+    pub rps: f64,
+    pub list_lag_s: f64,
+}
+
+/// What one controller may use.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Quota {
+    pub cores: f64,
+    pub memory_mb: f64,
+    pub max_sockets: usize,
+}
+
+/// The operators' own settings. Every field has a default, so the file is optional.
+#[derive(Debug, Clone, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Life of the leader's lease on the state service, in milliseconds (2,000 to 60,000).
+    pub leader_life_ms: u64,
+    /// Taken off the leader's authority for pauses and drift, in milliseconds.
+    pub authority_margin_ms: u64,
+    /// How long an idle machine is kept, as a multiple of its type's boot time.
+    pub idle_boots: f64,
+    /// Reports missed in a row before a worker counts as silent.
+    pub silent_reports: f64,
+    /// Errors of different jobs on one machine, with no success between, that make it sick.
+    pub sick_errors: u32,
+    /// Largest part of the fleet given up as silent within one lease.
+    pub give_up_share: f64,
+    /// User requests handled at once; more are told to come back.
+    pub max_user_requests: usize,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Operator {
+            leader_life_ms: 4000,
+            authority_margin_ms: 300,
+            idle_boots: 1.0,
+            silent_reports: 3.0,
+            sick_errors: 2,
+            give_up_share: 0.34,
+            max_user_requests: 64,
+        }
+    }
+}
+
+/// Everything a controller is started with.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    pub platform: Platform,
+    pub operator: Operator,
+}
+
+/// Reads and checks both files.
+pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, SettingsError> {
+    let text = read(platform)?;
+    let parsed: Platform = toml::from_str(&text).map_err(|e| SettingsError::Form {
+        file: platform.into(),
+        why: e.to_string().trim().to_string(),
+    })?;
+    check_platform(platform, &parsed)?;
+    let own = match operator {
+        None => Operator::default(),
+        Some(file) => {
+            let text = read(file)?;
+            let own = serde_json::from_str(&text).map_err(|e| SettingsError::Form {
+                file: file.into(),
+                why: e.to_string(),
+            })?;
+            check_operator(file, &own)?;
+            own
+        }
+    };
+    Ok(Settings {
+        platform: parsed,
+        operator: own,
+    })
+}
+
+/// The schema of the operators' file, as committed under `deploy/`.
+pub fn operator_schema() -> String {
+    let schema = schemars::schema_for!(Operator);
+    serde_json::to_string_pretty(&schema).unwrap_or_default() + "\n"
+}
+
+fn read(file: &Path) -> Result<String, SettingsError> {
+    std::fs::read_to_string(file).map_err(|why| SettingsError::Read {
+        file: file.into(),
+        why,
+    })
+}
+
+fn bad(file: &Path, field: &str, why: &str) -> SettingsError {
+    SettingsError::Value {
+        file: file.into(),
+        field: field.into(),
+        why: why.into(),
+    }
+}
+
+fn positive(file: &Path, field: &str, v: f64) -> Result<(), SettingsError> {
+    if v.is_finite() && v > 0.0 {
+        Ok(())
+    } else {
+        Err(bad(file, field, "must be a number above 0"))
+    }
+}
+
+fn not_negative(file: &Path, field: &str, v: f64) -> Result<(), SettingsError> {
+    if v.is_finite() && v >= 0.0 {
+        Ok(())
+    } else {
+        Err(bad(file, field, "must be 0 or more"))
+    }
+}
+
+fn check_platform(file: &Path, p: &Platform) -> Result<(), SettingsError> {
+    if p.host_name.is_empty() {
+        return Err(bad(file, "host_name", "must not be empty"));
+    }
+    if p.siblings.iter().any(|s| s.host_name == p.host_name) {
+        return Err(bad(file, "siblings", "names this controller itself"));
+    }
+    let f = &p.facts;
+    if f.teams.is_empty() {
+        return Err(bad(file, "facts.teams", "at least one team is needed"));
+    }
+    for t in &f.teams {
+        for (name, v) in [
+            ("cpus", t.cpus),
+            ("cpus_max", t.cpus_max),
+            ("gpus", t.gpus),
+            ("gpus_max", t.gpus_max),
+        ] {
+            not_negative(file, &format!("facts.teams.{}.{name}", t.name), v)?;
+        }
+    }
+    for (name, v) in [
+        ("facts.workers.report_s", f.workers.report_s),
+        ("facts.workers.lease_s", f.workers.lease_s),
+        ("facts.workers.gang_wait_s", f.workers.gang_wait_s),
+        ("facts.workers.gang_peer_s", f.workers.gang_peer_s),
+        ("facts.workers.cancel_s", f.workers.cancel_s),
+        ("facts.state.rps", f.state.rps),
+        ("facts.state.write_rps", f.state.write_rps),
+        ("facts.state.value_kb", f.state.value_kb),
+        ("facts.cloud.rps", f.cloud.rps),
+    ] {
+        positive(file, name, v)?;
+    }
+    if f.state.txn_ops < 3 {
+        return Err(bad(
+            file,
+            "facts.state.txn_ops",
+            "at least 3 are needed, to finish a job in one transaction",
+        ));
+    }
+    Ok(())
+}
+
+fn check_operator(file: &Path, o: &Operator) -> Result<(), SettingsError> {
+    if !(2000..=60_000).contains(&o.leader_life_ms) {
+        return Err(bad(file, "leader_life_ms", "must be 2000 to 60000"));
+    }
+    if o.authority_margin_ms * 2 >= o.leader_life_ms {
+        return Err(bad(
+            file,
+            "authority_margin_ms",
+            "must be under half of leader_life_ms",
+        ));
+    }
+    not_negative(file, "idle_boots", o.idle_boots)?;
+    positive(file, "silent_reports", o.silent_reports)?;
+    if !(0.0..=1.0).contains(&o.give_up_share) {
+        return Err(bad(file, "give_up_share", "must be 0 to 1"));
+    }
+    if o.sick_errors == 0 {
+        return Err(bad(file, "sick_errors", "must be 1 or more"));
+    }
+    if o.max_user_requests == 0 {
+        return Err(bad(file, "max_user_requests", "must be 1 or more"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/transport/budget.rs
@@ -0,0 +1,38 @@
+//! A token bucket: so many a second, bursts of one second's worth.
+
+use crate::ids::Millis;
+
+/// Bounds a rate. Takes the time from its caller.
+#[derive(Debug)]
+pub struct Budget {
+    per_s: f64,
+    burst: f64,
+    left: f64,
+    at: Millis,
+}
+
+impl Budget {
+    /// A full bucket.
+    pub fn new(per_s: f64, burst: f64) -> Self {
+        Budget {
+            per_s,
+            burst,
+            left: burst,
+            at: Millis(0),
+        }
+    }
+
+    /// Takes `n`, or nothing.
+    pub fn take(&mut self, now: Millis, n: f64) -> bool {
+        let passed = (now - self.at).secs().max(0.0);
+        self.at = now;
+        self.left = (self.left + passed * self.per_s).min(self.burst);
+        // A single demand above the burst could never be met: it is let through on a full bucket.
+        if self.left >= n.min(self.burst) {
+            self.left -= n;
+            true
+        } else {
+            false
+        }
+    }
+}
