--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -69,7 +69,7 @@
 pub enum Event {
     /// An open job appeared.
     JobOpened {
-        record: OpenRecord,
+        record: Box<OpenRecord>,
         stamp: Stamp,
         submitted: Millis,
     },
@@ -214,7 +214,7 @@
                 record,
                 stamp,
                 submitted,
-            } => self.job_opened(record, stamp, submitted),
+            } => self.job_opened(*record, stamp, submitted),
             Event::JobClosed { id } => self.job_closed(now, &id),
             Event::OpenJobs { jobs } => self.open_jobs(now, jobs),
             Event::DirectAnswered { host, seq, report } => {
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -458,10 +458,8 @@
                 self.intents_reread(now, host, stamp);
             } else if let Some((job, chunk)) = crate::bookkeeping::records::parse_progress_key(&key)
             {
-                if self.writer.litter.contains_key(&key) {
-                    if stamp == Stamp(0) {
-                        self.writer.litter.remove(&key);
-                    } else {
+                if self.writer.litter.remove(&key).is_some() {
+                    if stamp != Stamp(0) {
                         self.writer.litter.insert(key, stamp);
                     }
                 } else {
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -320,7 +320,7 @@
                         };
                         let submitted = submitted_at(&node, &record);
                         let opened = Event::JobOpened {
-                            record,
+                            record: Box::new(record),
                             stamp: n.stamp,
                             submitted,
                         };
