Place whole-machine tasks first; aims past saving go last

Cause: small tasks filled machines before gangs of whole machines found one, and when there was more to do than fits, jobs already late made every other late too.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -42,14 +42,21 @@
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.facts.teams.iter().find(|t| t.name == name)
     }
+    /// The time by which most tasks of a class should have started, if the settings name one.
+    pub fn started_within(&self, class: &str) -> Option<f64> {
+        self.least("wait", class)
+    }
     /// The time by which most jobs of a class should be finished, if the settings name one.
     pub fn finished_within(&self, class: &str) -> Option<f64> {
+        self.least("finished", class)
+    }
+    fn least(&self, kind: &str, class: &str) -> Option<f64> {
         self.facts
             .objectives
             .iter()
-            .filter(|o| o.kind == "finished" && o.class.as_deref() == Some(class))
+            .filter(|o| o.kind == kind && o.class.as_deref() == Some(class))
             .filter_map(|o| o.within_s)
-            .fold(None, |least, s| Some(least.map_or(s, |l: f64| l.min(s))))
+            .min_by(f64::total_cmp)
     }
     /// How long after its last answer a worker certainly has no lease: drift of both clocks, and a
     /// little for what the worker needs to act on it.
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -135,15 +135,36 @@
         inside
     }
 
-    /// Slack: time to the deadline less what is still to run. Least first.
-    fn slack(&self, id: &JobId, job: &Job, now: Millis) -> Millis {
+    /// The latest start that still meets an aim of the job, and which aim that is: the sooner ones
+    /// come first, and one that can't be met any more gives way to the next. A job past all of them
+    /// goes last; otherwise, when there is too much to do, jobs already late would make every other
+    /// late as well.
+    fn urgency_of(&self, id: &JobId, job: &Job, now: Millis) -> (u8, Millis) {
         let run = Millis::from_secs(self.estimate_s(&job.spec));
-        match self.graph.pressing(id) {
-            Some(due) => due - now - run,
-            None => Millis(i64::MAX / 4) - run,
+        let start = self.policy.started_within(&job.spec.class);
+        let start_by = start.map(|s| job.submitted + Millis::from_secs(s));
+        let finish_by = self.graph.pressing(id).map(|due| due - run);
+        let mut aims: Vec<Millis> = start_by.into_iter().chain(finish_by).collect();
+        aims.sort();
+        match aims.iter().position(|t| *t >= now) {
+            Some(at) => (at as u8, aims[at] - now),
+            None => (aims.len() as u8, job.submitted - now),
         }
     }
 
+    /// The largest part of any one machine type that a task takes: large ones are placed first,
+    /// small ones fill what is left.
+    fn bulk(&self, spec: &JobSpec) -> bool {
+        let part = |need: f64, have: f64| if have > 0.0 { need / have } else { 0.0 };
+        self.rigs
+            .values()
+            .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name)))
+            .map(|r| part(spec.gpus, r.gpus).max(part(spec.cpus, r.cpus)))
+            .filter(|p| *p <= 1.0)
+            .fold(f64::INFINITY, f64::min)
+            > 0.5
+    }
+
     fn queue(&self, now: Millis) -> Vec<JobId> {
         let inside = self.guaranteed();
         let mut queue: Vec<_> = self
@@ -157,7 +178,8 @@
                     !inside.contains(id),
                     Reverse::<Urgency>(j.spec.urgency),
                     self.graph.label(id),
-                    self.slack(id, j, now),
+                    !self.bulk(&j.spec),
+                    self.urgency_of(id, j, now),
                     j.submitted,
                 );
                 (rank, id.clone())
