--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,486 @@
+//! The scenario runner: every `tests/scenarios/*.txt` is a test. A file says what is given, what
+//! happens when, and what is expected; `tests/scenarios/README.md` lists the words.
+
+mod world;
+
+use chalklug::coordination::Policy;
+use chalklug::ids::*;
+use chalklug::protocol::cloud::RigInfo;
+use chalklug::protocol::state::{Change, Txn};
+use chalklug::protocol::users::{JobPhase, JobSpec, Shape, Urgency};
+use chalklug::protocol::workers::Order;
+use chalklug::settings::*;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use world::{Cut, World};
+
+/// Words after the first, as `name value` pairs; bare flags have an empty value.
+struct Words<'a>(Vec<&'a str>);
+
+const FLAGS: [&str; 4] = ["together", "scatter", "spot", "never"];
+
+impl<'a> Words<'a> {
+    fn get(&self, name: &str) -> Option<&'a str> {
+        let at = self.0.iter().position(|w| *w == name)?;
+        if FLAGS.contains(&name) {
+            return Some("");
+        }
+        self.0.get(at + 1).copied()
+    }
+    fn num(&self, name: &str, default: f64) -> f64 {
+        self.get(name).map_or(default, |v| {
+            v.parse().unwrap_or_else(|_| panic!("{name}: {v}"))
+        })
+    }
+    fn has(&self, name: &str) -> bool {
+        self.0.contains(&name)
+    }
+}
+
+struct Given {
+    facts: Facts,
+    rigs: Vec<RigInfo>,
+    machines: u32,
+    seed: u64,
+}
+
+fn defaults() -> Given {
+    Given {
+        facts: Facts {
+            clock_error_ms: 0.0,
+            teams: Vec::new(),
+            objectives: Vec::new(),
+            workers: Workers {
+                report_s: 3.0,
+                lease_s: 20.0,
+                gang_wait_s: 30.0,
+                gang_peer_s: 4.0,
+                cancel_s: 40.0,
+            },
+            state: StateLimits {
+                rps: 100.0,
+                write_rps: 25.0,
+                value_kb: 4.0,
+                txn_ops: 8,
+            },
+            cloud: CloudLimits {
+                rps: 5.0,
+                list_lag_s: 6.0,
+            },
+            quota: Quota {
+                cores: 0.1,
+                memory_mb: 100.0,
+                max_sockets: 1000,
+            },
+        },
+        rigs: Vec::new(),
+        machines: 20,
+        seed: 1,
+    }
+}
+
+fn given(g: &mut Given, first: &str, rest: &[&str]) {
+    let w = Words(rest.to_vec());
+    match first {
+        "team" => g.facts.teams.push(Team {
+            name: rest[0].into(),
+            cpus: 0.0,
+            cpus_max: 0.0,
+            gpus: w.num("gpus", 0.0),
+            gpus_max: w.num("max", 0.0),
+        }),
+        "rig" => g.rigs.push(RigInfo {
+            name: Rig::from(rest[0]),
+            cpus: w.num("cpus", 64.0),
+            gpus: w.num("gpus", 8.0),
+            ram_gb: w.num("ram", 256.0),
+            cache_gb: 100.0,
+            fetch_gb_per_s: w.num("fetch", 1.0),
+            price: w.num("price", 10.0),
+            spot_price: w.num("spotprice", 4.0),
+            boot_s: w.num("boot", 5.0),
+            sites: w
+                .get("sites")
+                .unwrap_or("a")
+                .split(',')
+                .map(Site::from)
+                .collect(),
+        }),
+        "objective" => g.facts.objectives.push(Objective {
+            kind: rest[0].into(),
+            class: Some(rest[1].into()),
+            within_s: Some(w.num("within", 60.0)),
+        }),
+        "machines" => g.machines = rest[0].parse().unwrap(),
+        "seed" => g.seed = rest[0].parse().unwrap(),
+        "lease" => g.facts.workers.lease_s = rest[0].parse().unwrap(),
+        other => panic!("not a word of scenarios: {other}"),
+    }
+}
+
+fn spec(rest: &[&str]) -> JobSpec {
+    let w = Words(rest.to_vec());
+    JobSpec {
+        id: JobId::parse(rest[0]).expect("a job id"),
+        class: w.get("class").unwrap_or("any").into(),
+        team: w.get("team").unwrap_or("blue").into(),
+        shape: match w.get("shape").unwrap_or("array") {
+            "array" => Shape::Array,
+            "gang" => Shape::Gang,
+            "standing" => Shape::Service,
+            s => panic!("shape {s}"),
+        },
+        urgency: match w.get("urgency").unwrap_or("normal") {
+            "low" => Urgency::Low,
+            "normal" => Urgency::Normal,
+            "urgent" => Urgency::Urgent,
+            _ => Urgency::Production,
+        },
+        pieces: w.num("pieces", 1.0) as u32,
+        cpus: w.num("cpus", 1.0),
+        gpus: w.num("gpus", 1.0),
+        ram_gb: 1.0,
+        image: w.get("image").unwrap_or("img").into(),
+        image_gb: w.num("gb", 2.0),
+        rigs: None,
+        site: w.get("site").map(Site::from),
+        together: w.has("together"),
+        scatter: w.has("scatter"),
+        spot: w.has("spot"),
+        guess_s: w.num("guess", w.num("run", 10.0)),
+        checkpoint_s: w.num("checkpoint", 0.0),
+        save_s: w.num("save", 1.0),
+        due_s: w.get("due").map(|v| v.parse().unwrap()),
+    }
+}
+
+fn secs(s: &str) -> Millis {
+    Millis::from_secs(s.parse().unwrap_or_else(|_| panic!("not a time: {s}")))
+}
+
+fn host(s: &str) -> HostId {
+    HostId::from(format!("host-{:06}", s.parse::<u32>().unwrap()).as_str())
+}
+
+/// The machine meant: by number, or the first one that a job is on.
+fn machine(w: &World, words: &Words) -> HostId {
+    match words.get("of") {
+        Some(job) => w
+            .hosts_of(&JobId::from(job))
+            .into_iter()
+            .next()
+            .unwrap_or_else(|| panic!("{job} is on no machine at {:.1} s", w.now.secs())),
+        None => host(words.get("host").expect("host N or of JOB")),
+    }
+}
+
+fn happen(w: &mut World, verb: &str, rest: &[&str]) {
+    let words = Words(rest.to_vec());
+    let until = w.now + Millis::from_secs(words.num("for", 0.0));
+    match verb {
+        "lead" => w.lead(),
+        "crash" => w.crash(),
+        "submit" => {
+            let after = words
+                .get("after")
+                .map_or(Vec::new(), |l| l.split(',').map(JobId::from).collect());
+            w.submit(spec(rest), words.num("run", 10.0), after);
+        }
+        "cancel" => w.cancel(&JobId::from(rest[0])),
+        "hang" => {
+            let h = machine(w, &words);
+            w.workers.get_mut(&h).unwrap().hang_until(until);
+        }
+        "cut" => {
+            let h = machine(w, &words);
+            let how = if words.has("hold") {
+                Cut::Hold
+            } else {
+                Cut::Drop
+            };
+            w.workers.get_mut(&h).unwrap().cut_until(until, how);
+        }
+        "sick" => {
+            let h = machine(w, &words);
+            w.workers.get_mut(&h).unwrap().sick = true;
+        }
+        "take" => {
+            let h = machine(w, &words);
+            w.workers.remove(&h);
+        }
+        "recall" => {
+            let h = machine(w, &words);
+            let at = w.now + Millis(10_000);
+            w.workers.get_mut(&h).unwrap().recall_at = Some(at);
+        }
+        "cloud-down" => w.cloud_down = until,
+        "state-down" => w.state_down = until,
+        "state-mute" => w.state_mute = until,
+        "state-late" => w.state_late = until,
+        "drop-reports" => w.drop_reports = words.num("share", 0.1),
+        "boots-never" => w.boot_never = rest[0].parse().unwrap(),
+        // What follows the service never does: it shows that the checker sees it.
+        "rogue-launch" => {
+            let order = Order::Launch {
+                piece: PieceId::parse(rest[0]).unwrap(),
+                attempt: Try(1 << 50),
+            };
+            let h = match words.get("not-of") {
+                Some(job) => {
+                    let on = w.hosts_of(&JobId::from(job));
+                    let free = w
+                        .workers
+                        .keys()
+                        .find(|h| !on.contains(*h) && w.workers[*h].up_at <= w.now);
+                    free.expect("another machine").clone()
+                }
+                None => machine(w, &words),
+            };
+            w.rogue(&h, order);
+        }
+        "rogue-delete" | "rogue-done" | "rogue-reopen" => rogue_record(w, verb, rest[0]),
+        other => panic!("not an event of scenarios: {other}"),
+    }
+}
+
+fn rogue_record(w: &mut World, verb: &str, id: &str) {
+    let id = JobId::from(id);
+    let spec = w
+        .specs
+        .get(&id)
+        .cloned()
+        .unwrap_or_else(|| spec(&[id.as_str()]));
+    use chalklug::bookkeeping::records::{final_key, open_key, FinalRecord, OpenRecord};
+    let delete = |key| Change::Delete { delete: key };
+    let apply = match verb {
+        "rogue-delete" => vec![delete(open_key(&id)), delete(final_key(&id))],
+        "rogue-done" => {
+            let mark = FinalRecord {
+                phase: JobPhase::Done,
+                spec,
+            };
+            vec![
+                delete(open_key(&id)),
+                Change::put(final_key(&id), serde_json::to_value(mark).unwrap()),
+            ]
+        }
+        _ => {
+            let open = OpenRecord {
+                spec,
+                at_ms: 0,
+                after: Vec::new(),
+            };
+            vec![
+                delete(final_key(&id)),
+                Change::put(open_key(&id), serde_json::to_value(open).unwrap()),
+            ]
+        }
+    };
+    w.store.apply(&Txn {
+        guards: Vec::new(),
+        apply,
+    });
+}
+
+/// `expect …`; panics with the reason if it doesn't hold.
+fn expect(w: &World, rest: &[&str], file: &str) {
+    let words = Words(rest.to_vec());
+    let job = || JobId::from(rest[1]);
+    match rest[0] {
+        "phase" => {
+            let want: JobPhase = serde_json::from_value(rest[2].into()).unwrap();
+            assert_eq!(
+                w.poll(&job()),
+                Some(want),
+                "{file}: {} at {:.1} s",
+                rest[1],
+                w.now.secs()
+            );
+        }
+        "starts" => {
+            let piece = PieceId::parse(rest[1]).unwrap();
+            let n = w.checker.starts.get(&piece).copied().unwrap_or(0);
+            assert_eq!(n.to_string(), rest[2], "{file}: starts of {piece}");
+        }
+        "running" => {
+            let n = w
+                .workers
+                .values()
+                .flat_map(|m| m.on_machine())
+                .filter(|(p, _)| p.job == job())
+                .count();
+            assert_eq!(
+                n.to_string(),
+                rest[2],
+                "{file}: tasks of {} at {:.1} s",
+                rest[1],
+                w.now.secs()
+            );
+        }
+        "machines" => {
+            let most = words.num("most", 1e9);
+            let least = words.num("least", 0.0);
+            let n = w.workers.len() as f64;
+            assert!(
+                n <= most && n >= least,
+                "{file}: {n} machines at {:.1} s",
+                w.now.secs()
+            );
+        }
+        "hosts" => {
+            let n = w.hosts_of(&job()).len();
+            assert_eq!(n.to_string(), rest[2], "{file}: machines of {}", rest[1]);
+        }
+        "broken" => assert!(
+            w.checker.broken.contains(rest[1]),
+            "{file}: the checker did not see {}, only {:?}",
+            rest[1],
+            w.checker.broken
+        ),
+        other => panic!("{file}: not an expectation: {other}"),
+    }
+}
+
+fn play(path: &Path) {
+    let file = path.file_name().unwrap().to_string_lossy().into_owned();
+    let text = std::fs::read_to_string(path).unwrap();
+    let mut g = defaults();
+    let mut events: BTreeMap<i64, Vec<Vec<&str>>> = BTreeMap::new();
+    let mut end = Millis(0);
+    let mut rules_kept = true;
+    for line in text.lines() {
+        let words: Vec<&str> = line.split('#').next().unwrap().split_whitespace().collect();
+        match words.as_slice() {
+            [] => {}
+            ["at", t, rest @ ..] => events.entry(secs(t).0).or_default().push(rest.to_vec()),
+            ["until", t] => end = secs(t),
+            [first, rest @ ..] => given(&mut g, first, rest),
+        }
+    }
+    for e in events.values().flatten() {
+        rules_kept &= !(e[0] == "expect" && e[1] == "broken");
+    }
+    let policy = Policy {
+        facts: g.facts,
+        operator: Operator::default(),
+    };
+    let mut w = World::new(policy, g.rigs, g.machines, g.seed);
+    for (t, list) in events {
+        w.run_until(Millis(t));
+        for e in list {
+            match e.as_slice() {
+                ["expect", rest @ ..] => expect(&w, rest, &file),
+                [verb, rest @ ..] => happen(&mut w, verb, rest),
+                [] => {}
+            }
+        }
+    }
+    w.run_until(end);
+    if rules_kept {
+        w.checker.at_end(w.now);
+        assert!(
+            w.checker.broken.is_empty(),
+            "{file}: {}",
+            w.checker.first.unwrap_or_default()
+        );
+    }
+}
+
+#[test]
+fn scenarios() {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let mut files: Vec<PathBuf> = std::fs::read_dir(dir)
+        .unwrap()
+        .map(|e| e.unwrap().path())
+        .filter(|p| p.extension().is_some_and(|e| e == "txt"))
+        .collect();
+    files.sort();
+    assert!(files.len() >= 20, "the scenarios are missing");
+    let only = std::env::var("SCENARIO").unwrap_or_default();
+    let mut failed = Vec::new();
+    for f in files.iter().filter(|f| f.to_string_lossy().contains(&only)) {
+        if std::panic::catch_unwind(|| play(f)).is_err() {
+            failed.push(f.file_name().unwrap().to_string_lossy().into_owned());
+        }
+    }
+    assert!(failed.is_empty(), "failed: {failed:?}");
+}
+
+/// A day of random faults, bounded and seeded: the rules hold and every job comes to its end.
+#[test]
+fn random_faults_break_no_rule() {
+    use rand::{Rng, SeedableRng};
+    for seed in 1..=12u64 {
+        let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+        let mut g = defaults();
+        given(&mut g, "team", &["blue", "gpus", "8", "max", "24"]);
+        given(&mut g, "team", &["red", "gpus", "8", "max", "20"]);
+        given(
+            &mut g,
+            "rig",
+            &["box", "gpus", "4", "boot", "6", "sites", "a,b,c"],
+        );
+        let policy = Policy {
+            facts: g.facts,
+            operator: Operator::default(),
+        };
+        let mut w = World::new(policy, g.rigs, 14, seed);
+        w.lead();
+        let mut cancelled = Vec::new();
+        for n in 0..24u32 {
+            let id = format!("wk-{n:06}");
+            let (team, pieces, run) = (
+                ["blue", "red"][n as usize % 2],
+                rng.random_range(1..8).to_string(),
+                rng.random_range(3..25).to_string(),
+            );
+            let mut words = vec![id.as_str(), "team", team, "pieces", &pieces, "run", &run];
+            let shape = rng.random_range(0..4);
+            words.extend(match shape {
+                0 => vec!["shape", "gang", "together"],
+                1 => vec!["scatter", "checkpoint", "4"],
+                2 => vec!["spot", "checkpoint", "5"],
+                _ => vec!["together"],
+            });
+            w.submit(spec(&words), run.parse().unwrap(), Vec::new());
+            let hosts: Vec<HostId> = w.workers.keys().cloned().collect();
+            let pick = (!hosts.is_empty()).then(|| hosts[rng.random_range(0..hosts.len())].clone());
+            let until = w.now + Millis(rng.random_range(2_000..30_000));
+            match (rng.random_range(0..10), pick) {
+                (0, Some(h)) => w.workers.get_mut(&h).unwrap().hang_until(until),
+                (1, Some(h)) => w.workers.get_mut(&h).unwrap().cut_until(until, Cut::Hold),
+                (2, Some(h)) => w.workers.get_mut(&h).unwrap().cut_until(until, Cut::Drop),
+                (3, Some(h)) => drop(w.workers.remove(&h)),
+                (4, _) => w.state_mute = w.now + Millis(2000),
+                (5, _) => w.state_late = w.now + Millis(4000),
+                (6, _) => w.cloud_down = until,
+                (7, _) => w.drop_reports = 0.2,
+                (8, _) => w.state_down = w.now + Millis(4000),
+                _ => w.drop_reports = 0.0,
+            }
+            if rng.random_bool(0.15) {
+                let id = JobId::from(id.as_str());
+                w.cancel(&id);
+                cancelled.push(id);
+            }
+            w.run_until(w.now + Millis(rng.random_range(500..9_000)));
+            if rng.random_bool(0.25) {
+                w.crash();
+                w.run_until(w.now + Millis(rng.random_range(100..6_000)));
+                w.lead();
+            }
+        }
+        w.drop_reports = 0.0;
+        let end = w.now + Millis(400_000);
+        w.run_until(end);
+        w.checker.at_end(w.now);
+        assert!(
+            w.checker.broken.is_empty(),
+            "seed {seed}: {:?}",
+            w.checker.first
+        );
+        for id in w.specs.keys().filter(|id| !cancelled.contains(id)) {
+            assert_eq!(w.poll(id), Some(JobPhase::Done), "seed {seed}: {id}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/world/mod.rs
@@ -0,0 +1,639 @@
+//! Stand-ins for the state service, the cloud, the workers and the users, in virtual time, around
+//! the deterministic core; and a checker that applies the protocol's rules to what the stand-ins
+//! see, knowing nothing of the core's ledgers.
+
+pub mod checker;
+pub mod store;
+pub mod worker;
+
+use chalklug::bookkeeping::records::*;
+use chalklug::coordination::recovery::{closed_jobs_named, Inheritance};
+use chalklug::coordination::worker_sessions::CheckInAnswer;
+use chalklug::coordination::{Core, Effect, Event, Policy};
+use chalklug::ids::*;
+use chalklug::protocol::cloud::{CloudHost, CloudPhase, RigInfo};
+use chalklug::protocol::state::{Change, Guard, Txn};
+use chalklug::protocol::users::{JobPhase, JobSpec};
+use chalklug::protocol::workers::{Order, Report};
+use checker::Checker;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use store::Store;
+use worker::Worker;
+
+/// The grain of virtual time.
+pub const GRAIN: Millis = Millis(100);
+
+/// How a cut treats what is sent during it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Cut {
+    Hold,
+    Drop,
+}
+
+/// What is on its way.
+enum Message {
+    CheckIn(Report, Millis),
+    Orders {
+        host: HostId,
+        baton: Baton,
+        orders: Vec<Order>,
+        asked: Millis,
+        tenure: Tenure,
+    },
+    Direct {
+        leader: Baton,
+        host: HostId,
+        seq: u64,
+        tenure: Tenure,
+        orders: Vec<Order>,
+    },
+    ToCore(Baton, Event),
+    Apply {
+        leader: Baton,
+        seq: u64,
+        txn: Txn,
+        answer: bool,
+    },
+    Returned {
+        leader: Baton,
+        hosts: Vec<HostId>,
+    },
+}
+
+pub struct World {
+    pub now: Millis,
+    pub policy: Arc<Policy>,
+    pub rigs: Vec<RigInfo>,
+    pub capacity: u32,
+    pub store: Store,
+    pub workers: BTreeMap<HostId, Worker>,
+    pub specs: BTreeMap<JobId, JobSpec>,
+    /// How long tasks of a job really run.
+    pub runs: BTreeMap<JobId, f64>,
+    pub progress: BTreeMap<PieceId, f64>,
+    pub checker: Checker,
+    pub rng: StdRng,
+    core: Option<Core>,
+    seen_epoch: Epoch,
+    lead_stamp: Stamp,
+    messages: Vec<(Millis, u64, Message)>,
+    sent: u64,
+    hired: BTreeMap<String, Vec<HostId>>,
+    rented: u32,
+    list_history: Vec<(Millis, Vec<CloudHost>)>,
+    pub cloud_down: Millis,
+    pub state_down: Millis,
+    /// Answers of the state service are lost until then; its transactions come this late.
+    pub state_mute: Millis,
+    pub state_late: Millis,
+    pub drop_reports: f64,
+    pub boot_never: u32,
+}
+
+impl World {
+    pub fn new(policy: Policy, rigs: Vec<RigInfo>, capacity: u32, seed: u64) -> World {
+        World {
+            now: Millis(0),
+            checker: Checker::new(policy.facts.clone()),
+            policy: Arc::new(policy),
+            rigs,
+            capacity,
+            store: Store::default(),
+            workers: BTreeMap::new(),
+            specs: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            core: None,
+            seen_epoch: Epoch(0),
+            lead_stamp: Stamp(0),
+            messages: Vec::new(),
+            sent: 0,
+            hired: BTreeMap::new(),
+            rented: 0,
+            list_history: Vec::new(),
+            cloud_down: Millis(0),
+            state_down: Millis(0),
+            state_mute: Millis(0),
+            state_late: Millis(0),
+            drop_reports: 0.0,
+            boot_never: 0,
+        }
+    }
+
+    pub fn submit(&mut self, spec: JobSpec, run_s: f64, after: Vec<JobId>) {
+        let id = spec.id.clone();
+        self.runs.insert(id.clone(), run_s);
+        self.specs.insert(id.clone(), spec.clone());
+        let record = OpenRecord {
+            spec: spec.clone(),
+            at_ms: 0,
+            after,
+        };
+        let absent = |key| Guard {
+            key,
+            stamp: Stamp(0),
+        };
+        let txn = Txn {
+            guards: vec![absent(open_key(&id)), absent(final_key(&id))],
+            apply: vec![Change::put(
+                open_key(&id),
+                serde_json::to_value(&record).unwrap(),
+            )],
+        };
+        assert!(self.store.apply(&txn).is_some(), "a job is submitted once");
+        self.checker.accepted(spec);
+    }
+
+    pub fn cancel(&mut self, id: &JobId) {
+        let Some(open) = self.store.get(&open_key(id)) else {
+            return;
+        };
+        let spec = self.specs[id].clone();
+        let mark = FinalRecord {
+            phase: JobPhase::Cancelled,
+            spec,
+        };
+        let txn = Txn {
+            guards: vec![Guard {
+                key: open_key(id),
+                stamp: open.stamp,
+            }],
+            apply: vec![
+                Change::Delete {
+                    delete: open_key(id),
+                },
+                Change::put(final_key(id), serde_json::to_value(&mark).unwrap()),
+            ],
+        };
+        assert!(self.store.apply(&txn).is_some());
+        self.checker.cancelled(id, self.now);
+    }
+
+    /// The leader dies. What it has sent stays on its way.
+    pub fn crash(&mut self) {
+        self.core = None;
+    }
+
+    /// A new leader takes over.
+    pub fn lead(&mut self) {
+        let last = self.store.get(BATON);
+        let baton = Baton(last.as_ref().and_then(|i| i.data.as_u64()).unwrap_or(0) + 1);
+        let put = |k: &str, v| Change::put(k.into(), v);
+        let txn = Txn {
+            guards: Vec::new(),
+            apply: vec![put(LEAD, baton.0.into()), put(BATON, baton.0.into())],
+        };
+        self.lead_stamp = Stamp(self.store.apply(&txn).unwrap().0);
+        let now = self.now;
+        let open: Vec<_> = self
+            .store
+            .list(OPEN)
+            .into_iter()
+            .map(|i| {
+                (
+                    serde_json::from_value::<OpenRecord>(i.data).unwrap(),
+                    i.stamp,
+                    now,
+                )
+            })
+            .collect();
+        let intents = self.store.list(INTENTS);
+        let closed = closed_jobs_named(&open, &intents)
+            .iter()
+            .filter_map(|id| self.store.get(&final_key(id)))
+            .map(|i| serde_json::from_value(i.data).unwrap())
+            .collect();
+        let found = Inheritance {
+            open,
+            progress: self.store.list(PROGRESS),
+            intents,
+            closed,
+            rigs: self.rigs.clone(),
+        };
+        self.seen_epoch = self.store.epoch;
+        self.core = Some(Core::take_over(
+            self.policy.clone(),
+            baton,
+            self.lead_stamp,
+            now,
+            found,
+        ));
+    }
+
+    /// An order that the service itself would never send, to show that the checker sees it.
+    pub fn rogue(&mut self, host: &HostId, order: Order) {
+        let (runs, specs, progress) = (&self.runs, &self.specs, &mut self.progress);
+        if let Some(w) = self.workers.get_mut(host) {
+            w.execute(self.now, &order, specs, runs, progress, &self.rigs);
+        }
+    }
+
+    fn send(&mut self, delay_ms: i64, m: Message) {
+        self.sent += 1;
+        self.messages
+            .push((self.now + Millis(delay_ms), self.sent, m));
+    }
+
+    pub fn run_until(&mut self, end: Millis) {
+        while self.now < end {
+            self.now = self.now + GRAIN;
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        self.workers_live();
+        let mut due: Vec<_> = Vec::new();
+        let mut i = 0;
+        while i < self.messages.len() {
+            if self.messages[i].0 <= now {
+                due.push(self.messages.swap_remove(i));
+            } else {
+                i += 1;
+            }
+        }
+        due.sort_by_key(|(t, n, _)| (*t, *n));
+        for (_, _, m) in due {
+            self.deliver(m);
+        }
+        self.watch();
+        if now.0 % 3000 == 0 {
+            self.list_machines();
+        }
+        let effects = self.core.as_mut().map_or(Vec::new(), |c| c.step(now));
+        for e in effects {
+            self.carry_out(e);
+        }
+        self.checker.look(now, &self.workers, &self.store);
+    }
+
+    fn workers_live(&mut self) {
+        let now = self.now;
+        let mut reports = Vec::new();
+        for w in self.workers.values_mut() {
+            w.live(
+                now,
+                &self.specs,
+                &mut self.progress,
+                &self.policy.facts.workers,
+            );
+            if let Some(r) = w.report_due(now, &self.policy.facts.workers, &mut self.rng) {
+                reports.push(r);
+            }
+        }
+        worker::gangs(
+            now,
+            &mut self.workers,
+            &self.specs,
+            &self.policy.facts.workers,
+        );
+        for r in reports {
+            if self.rng.random_bool(self.drop_reports) {
+                continue;
+            }
+            self.through_cut(&r.host.clone(), 10, Message::CheckIn(r, now));
+        }
+    }
+
+    /// Sends something to or from a machine, as the cut around it allows.
+    fn through_cut(&mut self, host: &HostId, delay: i64, m: Message) {
+        let now = self.now;
+        match self.workers.get(host).map(|w| w.cut(now)) {
+            Some(Some((until, Cut::Hold))) => {
+                let wait = (until - now).0 + delay;
+                self.send(wait, m);
+            }
+            Some(Some((_, Cut::Drop))) | None => {}
+            Some(None) => self.send(delay, m),
+        }
+    }
+
+    fn deliver(&mut self, m: Message) {
+        let now = self.now;
+        match m {
+            Message::CheckIn(report, asked) => {
+                let Some(core) = self.core.as_mut() else {
+                    return;
+                };
+                if let CheckInAnswer::Orders(orders) = core.check_in(now, &report) {
+                    let host = report.host.clone();
+                    let m = Message::Orders {
+                        host: host.clone(),
+                        baton: core.baton(),
+                        orders,
+                        asked,
+                        tenure: report.tenure,
+                    };
+                    self.through_cut(&host, 10, m);
+                }
+            }
+            Message::Orders {
+                host,
+                baton,
+                orders,
+                asked,
+                tenure,
+            } => {
+                let Some(w) = self.workers.get_mut(&host) else {
+                    return;
+                };
+                // The worker drops answers after 4 s, of earlier sessions, and of lower batons.
+                if now - asked > Millis(4000)
+                    || w.tenure != tenure
+                    || baton < w.baton
+                    || !w.awake(now)
+                {
+                    return;
+                }
+                w.baton = baton;
+                w.lease_from = asked;
+                for o in &orders {
+                    w.execute(
+                        now,
+                        o,
+                        &self.specs,
+                        &self.runs,
+                        &mut self.progress,
+                        &self.rigs,
+                    );
+                }
+            }
+            Message::Direct {
+                leader,
+                host,
+                seq,
+                tenure,
+                orders,
+            } => {
+                let Some(w) = self.workers.get_mut(&host) else {
+                    return;
+                };
+                if let Some(until) = w.asleep_until(now) {
+                    // A hanging machine executes it when it resumes.
+                    let wait = (until - now).0 + 100;
+                    self.send(
+                        wait,
+                        Message::Direct {
+                            leader,
+                            host,
+                            seq,
+                            tenure,
+                            orders,
+                        },
+                    );
+                    return;
+                }
+                if leader >= w.baton && tenure == w.tenure {
+                    w.baton = leader;
+                    for o in &orders {
+                        w.execute(
+                            now,
+                            o,
+                            &self.specs,
+                            &self.runs,
+                            &mut self.progress,
+                            &self.rigs,
+                        );
+                    }
+                }
+                let report = Box::new(w.report());
+                let answer = Event::DirectAnswered {
+                    host: host.clone(),
+                    seq,
+                    report,
+                };
+                self.through_cut(&host, 10, Message::ToCore(leader, answer));
+            }
+            Message::ToCore(leader, event) => {
+                if let Some(core) = self.core.as_mut().filter(|c| c.baton() == leader) {
+                    core.on(now, event);
+                }
+            }
+            Message::Apply {
+                leader,
+                seq,
+                txn,
+                answer,
+            } => {
+                if now < self.state_down {
+                    if answer {
+                        self.send(10, Message::ToCore(leader, Event::NotWritten { seq }));
+                    }
+                    return;
+                }
+                let outcome = self.store.apply(&txn);
+                if answer {
+                    let event = match outcome {
+                        Some(epoch) => Event::Written { seq, epoch },
+                        None => Event::WriteUnclear { seq },
+                    };
+                    self.send(10, Message::ToCore(leader, event));
+                }
+            }
+            Message::Returned { leader, hosts } => {
+                for h in &hosts {
+                    self.workers.remove(h);
+                }
+                self.send(10, Message::ToCore(leader, Event::Returned { hosts }));
+            }
+        }
+    }
+
+    fn watch(&mut self) {
+        if self.now < self.state_down {
+            return;
+        }
+        let Some(core) = self.core.as_mut() else {
+            return;
+        };
+        for (key, item) in self.store.changes_since(self.seen_epoch) {
+            let Some(id) = key.strip_prefix(OPEN) else {
+                continue;
+            };
+            let event = match item {
+                Some(i) => Event::JobOpened {
+                    record: Box::new(serde_json::from_value(i.data).unwrap()),
+                    stamp: i.stamp,
+                    submitted: self.now,
+                },
+                None => Event::JobClosed {
+                    id: JobId::from(id),
+                },
+            };
+            core.on(self.now, event);
+        }
+        self.seen_epoch = self.store.epoch;
+    }
+
+    fn list_machines(&mut self) {
+        let now = self.now;
+        let hosts = self
+            .workers
+            .values()
+            .map(|w| CloudHost {
+                id: w.id.clone(),
+                endpoint: w.endpoint(),
+                rig: w.rig.clone(),
+                site: w.site.clone(),
+                spot: w.spot,
+                phase: if w.up_at <= now {
+                    CloudPhase::Running
+                } else {
+                    CloudPhase::Starting
+                },
+                age_s: (now - w.rented_at).secs(),
+            })
+            .collect();
+        self.list_history.push((now, hosts));
+        if now < self.cloud_down {
+            return;
+        }
+        let lag = Millis::from_secs(self.policy.facts.cloud.list_lag_s);
+        let old = self
+            .list_history
+            .iter()
+            .rev()
+            .find(|(t, _)| now - *t >= lag)
+            .cloned();
+        if let (Some((_, hosts)), Some(core)) = (old, self.core.as_mut()) {
+            core.on(now, Event::Hosts { asked: now, hosts });
+        }
+    }
+
+    fn carry_out(&mut self, e: Effect) {
+        let Some(leader) = self.core.as_ref().map(Core::baton) else {
+            return;
+        };
+        let now = self.now;
+        match e {
+            Effect::Write { seq, txn } => {
+                let mute = now < self.state_mute;
+                if mute {
+                    let unclear = Event::WriteUnclear { seq };
+                    self.send(900, Message::ToCore(leader, unclear));
+                }
+                let late = if now < self.state_late { 3000 } else { 10 };
+                if late > 10 && !mute {
+                    let unclear = Event::WriteUnclear { seq };
+                    self.send(900, Message::ToCore(leader, unclear));
+                }
+                let answer = !mute && late == 10;
+                self.send(
+                    late,
+                    Message::Apply {
+                        leader,
+                        seq,
+                        txn,
+                        answer,
+                    },
+                );
+            }
+            Effect::Reread { seq, keys } => {
+                let items = keys
+                    .iter()
+                    .map(|k| (k.clone(), self.store.get(k)))
+                    .collect();
+                self.send(20, Message::ToCore(leader, Event::Reread { seq, items }));
+            }
+            Effect::Direct {
+                host,
+                seq,
+                tenure,
+                orders,
+                ..
+            } => {
+                let lost = Event::DirectFailed {
+                    host: host.clone(),
+                    seq,
+                    sent: true,
+                };
+                self.send(2500, Message::ToCore(leader, lost));
+                let m = Message::Direct {
+                    leader,
+                    host: host.clone(),
+                    seq,
+                    tenure,
+                    orders,
+                };
+                self.through_cut(&host, 10, m);
+            }
+            Effect::Rent {
+                hire,
+                rig,
+                site,
+                spot,
+                count,
+            } => {
+                let event = if now < self.cloud_down {
+                    Event::RentUnclear { hire }
+                } else {
+                    let hosts = self.rent(&hire, &rig, &site, spot, count);
+                    Event::Rented { hire, hosts }
+                };
+                self.send(120, Message::ToCore(leader, event));
+            }
+            Effect::Return { hosts } => {
+                if now < self.cloud_down {
+                    self.send(120, Message::ToCore(leader, Event::ReturnFailed { hosts }));
+                } else {
+                    self.send(120, Message::Returned { leader, hosts });
+                }
+            }
+            Effect::StepDown { .. } => self.core = None,
+        }
+    }
+
+    fn rent(
+        &mut self,
+        hire: &str,
+        rig: &Rig,
+        site: &Site,
+        spot: bool,
+        n: u32,
+    ) -> Option<Vec<HostId>> {
+        if let Some(hosts) = self.hired.get(hire) {
+            return Some(hosts.clone());
+        }
+        let free = self
+            .capacity
+            .saturating_sub(self.workers.len() as u32)
+            .min(n);
+        if free == 0 {
+            return None;
+        }
+        let boot = self.rigs.iter().find(|r| r.name == *rig)?.boot_s;
+        let hosts: Vec<HostId> = (0..free)
+            .map(|_| {
+                self.rented += 1;
+                let id = HostId::from(format!("host-{:06}", self.rented).as_str());
+                let never = self.rented <= self.boot_never;
+                let wait = if never { 1e6 } else { boot };
+                let up = self.now + Millis::from_secs(wait);
+                let w = Worker::new(id.clone(), rig.clone(), site.clone(), spot, self.now, up);
+                self.workers.insert(id.clone(), w);
+                id
+            })
+            .collect();
+        self.hired.insert(hire.into(), hosts.clone());
+        Some(hosts)
+    }
+
+    /// The user's view of a job, read as controllers read it.
+    pub fn poll(&self, id: &JobId) -> Option<JobPhase> {
+        self.store.phase(id)
+    }
+
+    /// Machines that tasks of the job are on.
+    pub fn hosts_of(&self, id: &JobId) -> BTreeSet<HostId> {
+        self.workers
+            .values()
+            .filter(|w| w.on_machine().any(|(p, _)| p.job == *id))
+            .map(|w| w.id.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/tests/world/worker.rs
@@ -0,0 +1,322 @@
+//! A stand-in for workers: sessions, leases, tokens, images, tasks and gangs as the protocol says.
+
+use super::Cut;
+use chalklug::ids::*;
+use chalklug::protocol::cloud::RigInfo;
+use chalklug::protocol::users::{JobSpec, Shape};
+use chalklug::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
+use chalklug::settings::Workers as Times;
+use rand::rngs::StdRng;
+use rand::Rng;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub struct Task {
+    pub phase: PiecePhase,
+    pub cause: Option<Cause>,
+    pub stored: bool,
+    /// When the present phase ends by itself.
+    pub until: Millis,
+    left_s: f64,
+    running_from: Millis,
+}
+
+pub struct Worker {
+    pub id: HostId,
+    pub rig: Rig,
+    pub site: Site,
+    pub spot: bool,
+    pub rented_at: Millis,
+    pub up_at: Millis,
+    pub tenure: Tenure,
+    pub baton: Baton,
+    pub lease_from: Millis,
+    pub tasks: BTreeMap<(PieceId, Try), Task>,
+    pub sick: bool,
+    pub recall_at: Option<Millis>,
+    tick: u64,
+    images: BTreeSet<String>,
+    next_report: Millis,
+    changed: bool,
+    hang: Option<Millis>,
+    cut: Option<(Millis, Cut)>,
+}
+
+type Specs = BTreeMap<JobId, JobSpec>;
+
+impl Worker {
+    pub fn new(id: HostId, rig: Rig, site: Site, spot: bool, now: Millis, up: Millis) -> Worker {
+        Worker {
+            id,
+            rig,
+            site,
+            spot,
+            rented_at: now,
+            up_at: up,
+            tenure: Tenure(1),
+            baton: Baton(0),
+            lease_from: up,
+            tasks: BTreeMap::new(),
+            sick: false,
+            recall_at: None,
+            tick: 0,
+            images: BTreeSet::new(),
+            next_report: up,
+            changed: false,
+            hang: None,
+            cut: None,
+        }
+    }
+
+    pub fn endpoint(&self) -> String {
+        format!("{}:9000", self.id)
+    }
+    pub fn hang_until(&mut self, t: Millis) {
+        self.hang = Some(t);
+    }
+    pub fn cut_until(&mut self, t: Millis, how: Cut) {
+        self.cut = Some((t, how));
+    }
+    pub fn cut(&self, now: Millis) -> Option<(Millis, Cut)> {
+        self.cut.filter(|(t, _)| now < *t)
+    }
+    pub fn asleep_until(&self, now: Millis) -> Option<Millis> {
+        let t = self.hang.into_iter().chain([self.up_at]).max()?;
+        (now < t).then_some(t)
+    }
+    pub fn awake(&self, now: Millis) -> bool {
+        self.asleep_until(now).is_none()
+    }
+
+    /// Tasks that have their image and haven't ended: on the machine, in the rules' sense.
+    pub fn on_machine(&self) -> impl Iterator<Item = (&PieceId, &Task)> {
+        let there = |t: &Task| !matches!(t.phase, PiecePhase::Fetching | PiecePhase::Ended);
+        self.tasks
+            .iter()
+            .filter(move |(_, t)| there(t))
+            .map(|((p, _), t)| (p, t))
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.tick += 1;
+        Report {
+            host: self.id.clone(),
+            endpoint: self.endpoint(),
+            rig: self.rig.clone(),
+            site: self.site.clone(),
+            spot: self.spot,
+            tenure: self.tenure,
+            tick: Tick(self.tick),
+            baton: self.baton,
+            recall_s: self.recall_at.map(|_| 10.0),
+            pieces: self
+                .tasks
+                .iter()
+                .map(|((piece, attempt), t)| PieceReport {
+                    piece: piece.clone(),
+                    attempt: *attempt,
+                    phase: t.phase,
+                    cause: t.cause,
+                    stored: t.stored,
+                })
+                .collect(),
+        }
+    }
+
+    pub fn report_due(&mut self, now: Millis, times: &Times, rng: &mut StdRng) -> Option<Report> {
+        if !self.awake(now) {
+            return None;
+        }
+        let soon =
+            self.changed && self.next_report - now < Millis::from_secs(times.report_s * 0.75 - 0.5);
+        if now < self.next_report && !soon {
+            return None;
+        }
+        self.changed = false;
+        let pause = times.report_s * rng.random_range(0.75..1.25);
+        self.next_report = now + Millis::from_secs(pause);
+        Some(self.report())
+    }
+
+    fn end(t: &mut Task, cause: Cause) {
+        t.phase = PiecePhase::Ended;
+        t.cause = Some(cause);
+    }
+
+    pub fn live(
+        &mut self,
+        now: Millis,
+        specs: &Specs,
+        progress: &mut BTreeMap<PieceId, f64>,
+        times: &Times,
+    ) {
+        if !self.awake(now) {
+            return;
+        }
+        // The lease: counted from when the last answered report was sent.
+        if (now - self.lease_from).secs() > times.lease_s {
+            self.tasks.clear();
+            self.tenure = Tenure(self.tenure.0 + 1);
+            self.lease_from = now;
+            self.changed = true;
+        }
+        for ((piece, _), t) in self.tasks.iter_mut() {
+            let spec = &specs[&piece.job];
+            if now < t.until {
+                continue;
+            }
+            match t.phase {
+                PiecePhase::Fetching => {
+                    self.images.insert(spec.image.clone());
+                    if spec.shape == Shape::Gang {
+                        t.phase = PiecePhase::Waiting;
+                        t.until = now + Millis::from_secs(times.gang_wait_s);
+                    } else {
+                        Self::run(now, t);
+                    }
+                }
+                PiecePhase::Waiting => Self::end(t, Cause::Incomplete),
+                PiecePhase::Running if self.sick => Self::end(t, Cause::Error),
+                PiecePhase::Running => Self::end(t, Cause::Done),
+                PiecePhase::Saving => {
+                    let ran = (now - t.running_from).secs();
+                    progress.insert(piece.clone(), (t.left_s - ran).max(0.0));
+                    t.stored = true;
+                    Self::end(t, Cause::Stopped);
+                }
+                PiecePhase::Ended => continue,
+            }
+            self.changed = true;
+        }
+    }
+
+    fn run(now: Millis, t: &mut Task) {
+        t.phase = PiecePhase::Running;
+        t.running_from = now;
+        t.until = now + Millis::from_secs(t.left_s);
+    }
+
+    pub fn execute(
+        &mut self,
+        now: Millis,
+        order: &Order,
+        specs: &Specs,
+        runs: &BTreeMap<JobId, f64>,
+        progress: &mut BTreeMap<PieceId, f64>,
+        rigs: &[RigInfo],
+    ) {
+        self.changed = true;
+        match order {
+            Order::Launch { piece, attempt } => {
+                if self.tasks.contains_key(&(piece.clone(), *attempt)) {
+                    return;
+                }
+                let spec = &specs[&piece.job];
+                let rig = rigs.iter().find(|r| r.name == self.rig).unwrap();
+                let fetch = if self.images.contains(&spec.image) {
+                    0.0
+                } else {
+                    spec.image_gb / rig.fetch_gb_per_s
+                };
+                let left_s = progress.get(piece).copied().unwrap_or(runs[&piece.job]);
+                let mut t = Task {
+                    phase: PiecePhase::Fetching,
+                    cause: None,
+                    stored: false,
+                    until: now + Millis::from_secs(fetch),
+                    left_s: if self.sick { 0.5 } else { left_s },
+                    running_from: now,
+                };
+                let other = |(p, _): &(PieceId, Try)| p == piece;
+                if self
+                    .tasks
+                    .iter()
+                    .any(|(k, t)| other(k) && t.phase != PiecePhase::Ended)
+                {
+                    Self::end(&mut t, Cause::Busy);
+                }
+                let used: f64 = self
+                    .tasks
+                    .iter()
+                    .filter(|(_, t)| t.phase != PiecePhase::Ended)
+                    .map(|((p, _), _)| specs[&p.job].gpus)
+                    .sum();
+                if used + spec.gpus > rig.gpus + 1e-9 {
+                    Self::end(&mut t, Cause::Full);
+                }
+                self.tasks.insert((piece.clone(), *attempt), t);
+            }
+            Order::Stop {
+                piece,
+                attempt,
+                grace_s,
+            } => {
+                let Some(t) = self.tasks.get_mut(&(piece.clone(), *attempt)) else {
+                    return;
+                };
+                let spec = &specs[&piece.job];
+                match t.phase {
+                    PiecePhase::Ended => {}
+                    PiecePhase::Running if spec.checkpoint_s > 0.0 && *grace_s >= spec.save_s => {
+                        t.phase = PiecePhase::Saving;
+                        t.until = now + Millis::from_secs(spec.save_s);
+                    }
+                    PiecePhase::Saving if *grace_s > 0.0 => {}
+                    _ => Self::end(t, Cause::Stopped),
+                }
+            }
+            Order::Clear { piece, attempt } => {
+                let key = (piece.clone(), *attempt);
+                if self
+                    .tasks
+                    .get(&key)
+                    .is_some_and(|t| t.phase == PiecePhase::Ended)
+                {
+                    self.tasks.remove(&key);
+                }
+            }
+        }
+    }
+}
+
+/// Gangs across machines: they start together, end together, and miss a member that is gone.
+pub fn gangs(now: Millis, workers: &mut BTreeMap<HostId, Worker>, specs: &Specs, times: &Times) {
+    let mut by_try: BTreeMap<(JobId, Try), Vec<PiecePhase>> = BTreeMap::new();
+    let mut done: BTreeSet<(JobId, Try)> = BTreeSet::new();
+    for w in workers.values() {
+        for ((p, a), t) in &w.tasks {
+            if specs[&p.job].shape != Shape::Gang {
+                continue;
+            }
+            let key = (p.job.clone(), *a);
+            if t.cause == Some(Cause::Done) {
+                done.insert(key.clone());
+            }
+            if t.phase != PiecePhase::Ended && w.awake(now) {
+                by_try.entry(key).or_default().push(t.phase);
+            }
+        }
+    }
+    for w in workers.values_mut().filter(|w| w.awake(now)) {
+        for ((p, a), t) in w.tasks.iter_mut() {
+            let spec = &specs[&p.job];
+            let key = (p.job.clone(), *a);
+            let Some(phases) = by_try.get(&key) else {
+                continue;
+            };
+            let all = phases.len() == spec.pieces as usize;
+            match t.phase {
+                PiecePhase::Waiting if all && !phases.contains(&PiecePhase::Fetching) => {
+                    Worker::run(now, t)
+                }
+                PiecePhase::Running if done.contains(&key) => Worker::end(t, Cause::Done),
+                PiecePhase::Running
+                    if !all && now - t.running_from > Millis::from_secs(times.gang_peer_s) =>
+                {
+                    Worker::end(t, Cause::MatesGone)
+                }
+                _ => continue,
+            }
+            w.changed = true;
+        }
+    }
+}
