--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,6 +4,8 @@
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::prelude::*;
 
 /// A small cluster scheduler for sites that rent their machines.
 #[derive(Parser)]
@@ -70,10 +72,16 @@
         .ok()
         .and_then(|l| l.parse::<tracing::Level>().ok())
         .unwrap_or(tracing::Level::INFO);
-    tracing_subscriber::fmt()
-        .with_max_level(level)
+    // Our own events at the level asked for; libraries only when something is wrong.
+    let filter = Targets::new()
+        .with_default(level.min(tracing::Level::WARN))
+        .with_target("chalklug", level)
+        .with_target("warp::server", tracing::level_filters::LevelFilter::OFF);
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(std::io::stderr)
         .with_ansi(false)
-        .without_time()
+        .without_time();
+    tracing_subscriber::registry()
+        .with(lines.with_filter(filter))
         .init();
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -237,6 +237,18 @@
         best.map(|(_, k)| k)
     }
 
+    /// Whether a machine for the job is coming or may yet be rented.
+    pub(crate) fn may_rent(&self, now: Millis, spec: &JobSpec) -> bool {
+        let need = Amount::of(spec);
+        let serves =
+            |kind: &Kind| Self::kind_allowed(spec, kind) && need.fits(&self.capacity(&kind.0));
+        self.choose_kind(now, spec, 1).is_some()
+            || self.fleet.hires.values().any(|h| serves(&h.kind))
+            || self.machines.values().any(|m| {
+                m.standing == Standing::Booting && serves(&(m.rig.clone(), m.site.clone(), m.spot))
+            })
+    }
+
     fn return_machines(&mut self, now: Millis, wanted: bool) {
         let silence = self.policy.silence();
         let up = self
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -40,6 +40,7 @@
 /// The tasks and room that a pass works with.
 struct Pass {
     room: BTreeMap<HostId, Amount>,
+    /// What teams use, and what is kept for jobs that their team's limit holds up.
     used: BTreeMap<String, Amount>,
 }
 
@@ -252,11 +253,24 @@
         let pending: Vec<u32> = job.pending.iter().take(head as usize).copied().collect();
         // Once one task of a gang is done all are, and the rest only have to say so one by one.
         let gang = spec.shape == Shape::Gang && job.done.count() == 0;
-        if gang {
-            // All or nothing, and nothing while a task of the last attempt lingers anywhere.
-            if !job.places.is_empty() || pending.len() < spec.pieces as usize {
-                return 0;
-            }
+        if gang && !job.places.is_empty() {
+            // Nothing while a task of the last attempt lingers anywhere.
+            return 0;
+        }
+        let short = if gang {
+            pending.len() < spec.pieces as usize
+        } else {
+            pending.is_empty()
+        };
+        if short {
+            // Guards against a large job that never finds its team's limit free, because smaller
+            // jobs behind it take every bit that is given back: what it needs is kept for it.
+            let n = if gang { f64::from(spec.pieces) } else { 1.0 };
+            pass.used
+                .entry(spec.team.clone())
+                .or_default()
+                .add(&Amount::of(&spec).times(n));
+            return 0;
         }
         let zones = self.zone_choices(&spec, job, pass);
         let mut plan: Vec<(u32, HostId)> = Vec::new();
@@ -269,6 +283,9 @@
         }
         let left = (pending.len() - plan.len()) as u32;
         if plan.is_empty() {
+            if self.bulk(&spec) && !self.may_rent(now, &spec) {
+                self.keep_a_machine(&spec, pass);
+            }
             return left;
         }
         let attempt = self.fresh_try();
@@ -298,6 +315,23 @@
         left
     }
 
+    /// Guards against a task of a whole machine that never finds one, because small tasks fill
+    /// every gap and no more machines are to be had: the emptiest that it may use takes nothing
+    /// more from jobs behind it.
+    fn keep_a_machine(&self, spec: &JobSpec, pass: &mut Pass) {
+        let need = Amount::of(spec);
+        let best = self
+            .machines
+            .values()
+            .filter(|m| Self::allows(spec, m) && need.fits(&self.capacity(&m.rig)))
+            .filter(|m| pass.room.contains_key(&m.id))
+            .map(|m| (self.emptiness(m, pass), &m.id))
+            .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
+        if let Some((_, host)) = best {
+            pass.room.remove(host);
+        }
+    }
+
     fn unplan(&self, spec: &JobSpec, plan: &mut Vec<(u32, HostId)>, pass: &mut Pass) {
         for (_, host) in plan.drain(..) {
             if let Some(room) = pass.room.get_mut(&host) {
