--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -179,6 +179,7 @@
                     !inside.contains(id),
                     Reverse::<Urgency>(j.spec.urgency),
                     self.graph.label(id),
+                    self.urgency_of(id, j, now).0,
                     !self.bulk(&j.spec),
                     self.urgency_of(id, j, now),
                     j.submitted,
