--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -165,6 +165,21 @@
                 left -= 1;
             }
         }
+        for (spec, n) in &self.standby_missing {
+            let need = Amount::of(spec);
+            for _ in 0..*n {
+                let coming = bins
+                    .iter_mut()
+                    .find(|b| Self::kind_allowed(spec, &b.kind) && need.fits(&b.room));
+                if let Some(b) = coming {
+                    b.room.sub(&need);
+                } else if let Some(kind) = self.choose_kind(now, spec, 1) {
+                    let mut room = self.capacity(&kind.0);
+                    room.sub(&need);
+                    bins.push(Bin { kind, room });
+                }
+            }
+        }
         let mut wanted: BTreeMap<Kind, u32> = BTreeMap::new();
         for b in bins.drain(coming..) {
             *wanted.entry(b.kind).or_default() += 1;
@@ -278,6 +293,7 @@
             let idle_s = self.boot_s(&m.rig) * self.policy.operator.idle_boots;
             let idle = m.standing == Standing::Up
                 && !wanted
+                && !self.reserved.contains_key(&m.id)
                 && m.idle_since.is_some_and(|t| (now - t).secs() > idle_s);
             let stuck = m.drain_since.is_some_and(|t| now - t > DRAIN_PATIENCE);
             if dead_boot || m.list_failed || (idle && !busy) || (m.drain && (!busy || stuck)) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod leadership;
 pub mod placement;
 pub mod recovery;
+pub mod standby;
 pub mod worker_sessions;
 pub mod writer;
 
@@ -15,6 +16,7 @@
 use crate::ids::{Baton, Epoch, HostId, JobId, Millis, Rig, Site, Stamp, Tenure, Try};
 use crate::protocol::cloud::{CloudHost, RigInfo};
 use crate::protocol::state::{Item, Txn};
+use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Facts, Operator, Settings, Team};
 use fleet::Fleet;
@@ -183,6 +185,11 @@
     pub(crate) last_recheck: Millis,
     /// Observed against guessed run times, per class: an estimate for slack and for renting.
     pub(crate) observed: BTreeMap<String, placement::Observed>,
+    /// Arrivals of classes that want to start soon, the machines that stand by for them, and how
+    /// many are missing.
+    pub(crate) demand: BTreeMap<String, standby::Demand>,
+    pub(crate) reserved: BTreeMap<HostId, String>,
+    pub(crate) standby_missing: Vec<(JobSpec, u32)>,
 }
 
 /// Counts of one job, for display.
@@ -257,6 +264,7 @@
             self.dirty = false;
             self.last_pass = now;
             self.stop_unwanted(now);
+            self.choose_standby(now);
             let unmet = self.place(now);
             self.size_fleet(now, unmet);
         }
@@ -311,6 +319,7 @@
             None => {
                 let due = self.deadline_of(&record, submitted);
                 self.graph.add(&id, &record.after, due);
+                self.note_arrival(&record.spec, submitted);
                 self.jobs
                     .insert(id, Job::new(record.spec, stamp, submitted));
                 self.dirty = true;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -155,7 +155,7 @@
 
     /// The largest part of any one machine type that a task takes: large ones are placed first,
     /// small ones fill what is left.
-    fn bulk(&self, spec: &JobSpec) -> bool {
+    pub(crate) fn bulk(&self, spec: &JobSpec) -> bool {
         let part = |need: f64, have: f64| if have > 0.0 { need / have } else { 0.0 };
         self.rigs
             .values()
@@ -407,6 +407,7 @@
             .filter(|m| pass.room.contains_key(&m.id) && Self::allows(spec, m))
             .filter(|m| zone.is_none_or(|z| *z == m.site))
             .filter(|m| !(avoid && job.failed_on.contains(&m.id)))
+            .filter(|m| self.reserved.get(&m.id).is_none_or(|c| *c == spec.class))
             .map(|m| {
                 (
                     m,
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -67,6 +67,9 @@
             last_pass: now,
             last_recheck: now,
             observed: BTreeMap::new(),
+            demand: BTreeMap::new(),
+            reserved: BTreeMap::new(),
+            standby_missing: Vec::new(),
         };
         core.rigs = found
             .rigs
