--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -78,6 +78,18 @@
         self.rigs.get(rig).map_or(30.0, |r| r.boot_s)
     }
 
+    /// What it would take to have such a machine again: to boot it and fetch an image. Keeping it
+    /// idle for as long costs at most twice what the best choice in hindsight would have.
+    fn renewal_s(&self, m: &Machine) -> f64 {
+        let rate = self.rigs.get(&m.rig).map_or(0.0, |r| r.fetch_gb_per_s);
+        let fetch = m
+            .images
+            .iter()
+            .map(|(_, gb)| if rate > 0.0 { gb / rate } else { 0.0 })
+            .fold(0.0, f64::max);
+        self.boot_s(&m.rig) + fetch
+    }
+
     /// Returns what isn't needed or is given up, rents what is missing.
     pub(crate) fn size_fleet(&mut self, now: Millis, unmet: Vec<Unmet>) {
         self.repeat_hires(now);
@@ -290,7 +302,7 @@
             let age = now - m.since;
             let dead_boot = m.standing == Standing::Booting
                 && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
-            let idle_s = self.boot_s(&m.rig) * self.policy.operator.idle_boots;
+            let idle_s = self.renewal_s(m) * self.policy.operator.idle_boots;
             let idle = m.standing == Standing::Up
                 && !wanted
                 && !self.reserved.contains_key(&m.id)
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -132,7 +132,8 @@
     pub leader_life_ms: u64,
     /// Taken off the leader's authority for pauses and drift, in milliseconds.
     pub authority_margin_ms: u64,
-    /// How long an idle machine is kept, as a multiple of its type's boot time.
+    /// How long an idle machine is kept, as a multiple of the time to boot such a machine again and
+    /// fetch an image.
     pub idle_boots: f64,
     /// Reports missed in a row before a worker counts as silent.
     pub silent_reports: f64,
