--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -140,7 +140,10 @@
     /// come first, and one that can't be met any more gives way to the next. A job past all of them
     /// goes last; otherwise, when there is too much to do, jobs already late would make every other
     /// late as well.
-    fn urgency_of(&self, id: &JobId, job: &Job, now: Millis) -> (u8, Millis) {
+    ///
+    /// Within a team that has more to do than its limit allows at once, large jobs go by the
+    /// shortest estimate: the limit is given back sooner, and more of them start in time.
+    fn urgency_of(&self, id: &JobId, job: &Job, now: Millis, tight: bool) -> (u8, Millis) {
         let run = Millis::from_secs(self.estimate_s(&job.spec));
         let start = self.policy.started_within(&job.spec.class);
         let start_by = start.map(|s| job.submitted + Millis::from_secs(s));
@@ -148,6 +151,7 @@
         let mut aims: Vec<Millis> = start_by.into_iter().chain(finish_by).collect();
         aims.sort();
         match aims.iter().position(|t| *t >= now) {
+            Some(at) if tight && self.bulk(&job.spec) => (at as u8, run),
             Some(at) => (at as u8, aims[at] - now),
             None => (aims.len() as u8, job.submitted - now),
         }
@@ -166,22 +170,42 @@
             > 0.5
     }
 
+    /// Teams whose unfinished work does not fit their limit all at once.
+    fn tight_teams(&self) -> BTreeSet<&str> {
+        let mut all: BTreeMap<&str, Amount> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| !j.over) {
+            let left = j.spec.pieces - j.done.count().min(j.spec.pieces);
+            all.entry(j.spec.team.as_str())
+                .or_default()
+                .add(&Amount::of(&j.spec).times(f64::from(left)));
+        }
+        all.retain(|name, sum| {
+            self.policy
+                .team(name)
+                .is_some_and(|t| !within(sum.cpus, t.cpus_max) || !within(sum.gpus, t.gpus_max))
+        });
+        all.into_keys().collect()
+    }
+
     fn queue(&self, now: Millis) -> Vec<JobId> {
         let inside = self.guaranteed();
+        let tight = self.tight_teams();
         let mut queue: Vec<_> = self
             .jobs
             .iter()
             .filter(|(id, j)| !j.over && !j.pending.is_empty() && self.graph.released(id))
             .filter(|(_, j)| j.not_before <= now)
             .map(|(id, j)| {
+                let tight = tight.contains(j.spec.team.as_str());
+                let urgency = self.urgency_of(id, j, now, tight);
                 let rank = (
                     self.graph.depth(id),
                     !inside.contains(id),
                     Reverse::<Urgency>(j.spec.urgency),
                     self.graph.label(id),
-                    self.urgency_of(id, j, now).0,
+                    urgency.0,
                     !self.bulk(&j.spec),
-                    self.urgency_of(id, j, now),
+                    urgency.1,
                     j.submitted,
                 );
                 (rank, id.clone())
