Preemption (under trial); starts stopped before their launch no longer hang

Cause of the hang: a start planned but not launched, when stopped, was neither launched nor seen to end.

--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -250,6 +250,8 @@
     /// No new work (sick, silent too often, or to be returned).
     pub drain: bool,
     pub drain_since: Option<Millis>,
+    /// Emptied for this job, which alone may use it until then.
+    pub kept_for: Option<(JobId, Millis)>,
     /// Images that should be in its cache, least recently used first.
     pub images: Vec<(String, f64)>,
     /// Idle since.
@@ -290,6 +292,7 @@
             recall_at: None,
             drain: false,
             drain_since: None,
+            kept_for: None,
             images: Vec::new(),
             idle_since: None,
             failed_jobs: BTreeSet::new(),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,6 +6,7 @@
 pub mod graph;
 pub mod leadership;
 pub mod placement;
+pub mod preemption;
 pub mod recovery;
 pub mod standby;
 pub mod worker_sessions;
@@ -52,6 +53,15 @@
     pub fn finished_within(&self, class: &str) -> Option<f64> {
         self.least("finished", class)
     }
+    /// The time by which work within a guarantee should have started.
+    pub fn guarantee_within(&self) -> Option<f64> {
+        self.facts
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "guarantee")
+            .filter_map(|o| o.within_s)
+            .min_by(f64::total_cmp)
+    }
     fn least(&self, kind: &str, class: &str) -> Option<f64> {
         self.facts
             .objectives
@@ -266,6 +276,7 @@
             self.stop_unwanted(now);
             self.choose_standby(now);
             let unmet = self.place(now);
+            self.preempt(now, &unmet);
             self.size_fleet(now, unmet);
         }
         self.write(now);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -323,6 +323,9 @@
             tracing::debug!(piece = %piece, host = %host, "placed");
             if let Some(m) = self.machines.get_mut(&host) {
                 m.idle_since = None;
+                if m.kept_for.as_ref().is_some_and(|(j, _)| j == id) {
+                    m.kept_for = None;
+                }
                 m.starts.insert(
                     (piece.clone(), attempt),
                     Start::planned(piece, attempt, now),
@@ -431,6 +434,11 @@
             .filter(|m| pass.room.contains_key(&m.id) && Self::allows(spec, m))
             .filter(|m| zone.is_none_or(|z| *z == m.site))
             .filter(|m| !(avoid && job.failed_on.contains(&m.id)))
+            .filter(|m| {
+                m.kept_for
+                    .as_ref()
+                    .is_none_or(|(j, t)| j == id || now >= *t)
+            })
             .filter(|m| self.reserved.get(&m.id).is_none_or(|c| *c == spec.class))
             .map(|m| {
                 (
@@ -479,7 +487,7 @@
     }
 
     /// Seconds until the image would be there: none if cached, the rest if being fetched.
-    fn wait_for_image(&self, now: Millis, m: &Machine, spec: &JobSpec) -> f64 {
+    pub(crate) fn wait_for_image(&self, now: Millis, m: &Machine, spec: &JobSpec) -> f64 {
         if m.has_image(&spec.image) {
             return 0.0;
         }
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -495,7 +495,9 @@
                 }
                 let job = self.jobs.get(&key.0.job);
                 let wanted = job.is_some_and(|j| j.wants(key.0.index));
-                if s.untouched() && silent {
+                // A start stopped before it was launched would wait for ever: neither launched nor
+                // seen to end.
+                if s.untouched() && (silent || s.stop.is_some()) {
                     ended_here.push((m.id.clone(), key.clone()));
                     continue;
                 }
