--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -43,7 +43,7 @@
                         .is_some_and(|(j, t)| *j == u.job && now < *t)
                 })
                 .count();
-            if kept > 0 || !self.too_late_to_rent(now, &u.job, &inside) {
+            if kept > 0 || !self.too_late_to_rent(now, &u.job) {
                 continue;
             }
             let way = self
@@ -63,21 +63,13 @@
     }
 
     /// Whether the job would miss the time by which it should start if it waited for a rental.
-    fn too_late_to_rent(&self, now: Millis, id: &JobId, inside: &BTreeSet<JobId>) -> bool {
+    fn too_late_to_rent(&self, now: Millis, id: &JobId) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
         let spec = &job.spec;
         let by_class = self.policy.started_within(&spec.class);
-        let by_guarantee = self
-            .policy
-            .guarantee_within()
-            .filter(|_| inside.contains(id));
-        let Some(within) = [by_class, by_guarantee]
-            .into_iter()
-            .flatten()
-            .min_by(f64::total_cmp)
-        else {
+        let Some(within) = by_class else {
             return !self.may_rent(now, spec);
         };
         let waited = (now - job.submitted).secs();
