--- /dev/null
+++ b/tests/loopback.rs
@@ -0,0 +1,567 @@
+//! Three real processes on loopback against stand-ins of the state service, the cloud and the
+//! workers, met over their published protocols: bad input, a job that runs, a kill, a restart.
+//! Order and outcome are asserted, not time: every wait is for a condition, with a generous end.
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+type Handler = Arc<dyn Fn(&str, &str, &Value) -> (u16, Value) + Send + Sync>;
+
+/// One HTTP exchange on a connection of its own.
+fn http(addr: &str, method: &str, path: &str, body: &[u8]) -> Option<(u16, Value)> {
+    let mut s = TcpStream::connect(addr).ok()?;
+    s.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n", body.len());
+    s.write_all(head.as_bytes()).ok()?;
+    // The server may answer before it has read everything: a failed write is no failure here.
+    let _ = s.write_all(body);
+    let mut out = Vec::new();
+    let _ = s.read_to_end(&mut out);
+    let text = String::from_utf8_lossy(&out);
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    let body = text.split_once("\r\n\r\n").map_or("", |(_, b)| b);
+    Some((status, serde_json::from_str(body).unwrap_or(Value::Null)))
+}
+
+fn read_request(s: &mut TcpStream, buf: &mut Vec<u8>) -> Option<(String, String, Value)> {
+    let mut part = [0u8; 16384];
+    loop {
+        let text = String::from_utf8_lossy(buf).into_owned();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let head = &text[..end];
+            let length = head
+                .lines()
+                .filter_map(|l| l.split_once(':'))
+                .find(|(n, _)| n.eq_ignore_ascii_case("content-length"))
+                .map_or(0, |(_, v)| v.trim().parse::<usize>().unwrap_or(0));
+            if buf.len() >= end + 4 + length {
+                let mut first = head.lines().next()?.split(' ');
+                let (method, path) = (first.next()?.to_string(), first.next()?.to_string());
+                let body =
+                    serde_json::from_slice(&buf[end + 4..end + 4 + length]).unwrap_or(Value::Null);
+                buf.drain(..end + 4 + length);
+                return Some((method, path, body));
+            }
+        }
+        match s.read(&mut part) {
+            Ok(n) if n > 0 => buf.extend_from_slice(&part[..n]),
+            _ => return None,
+        }
+    }
+}
+
+/// A stand-in's server: a thread for each connection.
+fn serve(handler: Handler) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for s in listener.incoming().flatten() {
+            let handler = handler.clone();
+            std::thread::spawn(move || {
+                let mut s = s;
+                let mut buf = Vec::new();
+                while let Some((method, path, body)) = read_request(&mut s, &mut buf) {
+                    let (status, answer) = handler(&method, &path, &body);
+                    let text = answer.to_string();
+                    let head = format!("HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", text.len());
+                    if s.write_all((head + &text).as_bytes()).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+#[derive(Default)]
+struct State {
+    epoch: u64,
+    items: BTreeMap<String, (Value, u64, Option<u64>)>,
+    changes: Vec<(u64, String)>,
+    holds: BTreeMap<u64, (Instant, u64)>,
+}
+
+impl State {
+    fn change(&mut self, key: &str, item: Option<(Value, Option<u64>)>) {
+        self.changes.push((self.epoch, key.into()));
+        match item {
+            Some((v, hold)) => drop(self.items.insert(key.into(), (v, self.epoch, hold))),
+            None => drop(self.items.remove(key)),
+        }
+    }
+    fn expire(&mut self) {
+        let over: Vec<u64> = self
+            .holds
+            .iter()
+            .filter(|(_, (t, _))| *t < Instant::now())
+            .map(|(h, _)| *h)
+            .collect();
+        for h in over {
+            self.end(h);
+        }
+    }
+    fn end(&mut self, hold: u64) {
+        self.holds.remove(&hold);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, i)| i.2 == Some(hold))
+            .map(|(k, _)| k.clone())
+            .collect();
+        for k in keys {
+            self.epoch += 1;
+            self.change(&k, None);
+        }
+    }
+}
+
+fn query(path: &str, name: &str) -> Option<String> {
+    let (_, q) = path.split_once('?')?;
+    q.split('&')
+        .filter_map(|p| p.split_once('='))
+        .find(|(n, _)| *n == name)
+        .map(|(_, v)| v.to_string())
+}
+
+fn state_service() -> SocketAddr {
+    let state = Arc::new(Mutex::new(State::default()));
+    serve(Arc::new(move |method, path, body| {
+        if path.starts_with("/watch") {
+            let since: u64 = query(path, "since").unwrap().parse().unwrap();
+            let prefix = query(path, "prefix").unwrap();
+            let end = Instant::now()
+                + Duration::from_millis(query(path, "holdMs").unwrap().parse().unwrap());
+            loop {
+                let s = state.lock().unwrap();
+                let news: Vec<Value> = s
+                    .changes
+                    .iter()
+                    .filter(|(e, k)| *e > since && k.starts_with(&prefix))
+                    .map(|(e, k)| match s.items.get(k) {
+                        Some((v, stamp, _)) => json!({"put": k, "data": v, "stamp": stamp}),
+                        None => json!({"delete": k, "stamp": e}),
+                    })
+                    .collect();
+                if !news.is_empty() || Instant::now() > end {
+                    return (200, json!({"epoch": s.epoch, "news": news}));
+                }
+                drop(s);
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+        let mut s = state.lock().unwrap();
+        s.expire();
+        if let Some(rest) = path.strip_prefix("/grants") {
+            if method == "POST" && rest.is_empty() {
+                let life = body["lifeMs"].as_u64().unwrap();
+                let id = s.epoch * 1000 + s.holds.len() as u64 + 1;
+                s.holds
+                    .insert(id, (Instant::now() + Duration::from_millis(life), life));
+                return (200, json!({"hold": id}));
+            }
+            let id: u64 = rest
+                .trim_start_matches('/')
+                .split('/')
+                .next()
+                .unwrap()
+                .parse()
+                .unwrap();
+            if method == "DELETE" {
+                s.end(id);
+                return (200, json!({}));
+            }
+            return match s.holds.get_mut(&id) {
+                Some((until, life)) => {
+                    *until = Instant::now() + Duration::from_millis(*life);
+                    (200, json!({}))
+                }
+                None => (404, json!({})),
+            };
+        }
+        if path == "/multi" {
+            let failed: Vec<&Value> = body["guards"]
+                .as_array()
+                .unwrap()
+                .iter()
+                .filter(|g| {
+                    s.items.get(g["key"].as_str().unwrap()).map_or(0, |i| i.1)
+                        != g["stamp"].as_u64().unwrap()
+                })
+                .map(|g| &g["key"])
+                .collect();
+            if !failed.is_empty() {
+                return (409, json!({"failed": failed, "epoch": s.epoch}));
+            }
+            s.epoch += 1;
+            for c in body["apply"].as_array().unwrap() {
+                if let Some(k) = c["put"].as_str() {
+                    let hold = c["hold"].as_u64();
+                    if hold.is_some_and(|h| !s.holds.contains_key(&h)) {
+                        return (400, json!({"error": "no such lease"}));
+                    }
+                    s.change(k, Some((c["data"].clone(), hold)));
+                } else {
+                    s.change(c["delete"].as_str().unwrap(), None);
+                }
+            }
+            return (200, json!({"epoch": s.epoch}));
+        }
+        if let Some(key) = path.strip_prefix("/store/") {
+            return match s.items.get(key) {
+                Some((v, stamp, hold)) => (
+                    200,
+                    json!({"key": key, "data": v, "stamp": stamp, "hold": hold}),
+                ),
+                None => (404, json!({"epoch": s.epoch})),
+            };
+        }
+        let prefix = query(path, "prefix").unwrap();
+        let since = query(path, "since").unwrap_or_default();
+        let pairs: Vec<Value> = s
+            .items
+            .iter()
+            .filter(|(k, _)| k.starts_with(&prefix) && **k > since)
+            .map(|(k, (v, stamp, _))| json!({"key": k, "data": v, "stamp": stamp}))
+            .collect();
+        (
+            200,
+            json!({"pairs": pairs, "hasNext": false, "epoch": s.epoch}),
+        )
+    }))
+}
+
+/// What a worker knows, shared between its server and its report loop.
+struct Worker {
+    name: String,
+    endpoint: String,
+    tick: u64,
+    baton: u64,
+    tasks: BTreeMap<(String, u64), Instant>,
+    launched: Arc<Mutex<Vec<String>>>,
+}
+
+impl Worker {
+    fn obey(&mut self, baton: u64, orders: &Value) {
+        if baton < self.baton {
+            return;
+        }
+        self.baton = baton;
+        for o in orders.as_array().unwrap() {
+            let key = (
+                o["piece"].as_str().unwrap().to_string(),
+                o["try"].as_u64().unwrap(),
+            );
+            match o["verb"].as_str().unwrap() {
+                "launch" => {
+                    self.tasks.entry(key.clone()).or_insert_with(|| {
+                        self.launched.lock().unwrap().push(key.0);
+                        Instant::now()
+                    });
+                }
+                _ => drop(self.tasks.remove(&key)),
+            }
+        }
+    }
+    fn report(&mut self) -> Value {
+        self.tick += 1;
+        let pieces: Vec<Value> = self
+            .tasks
+            .iter()
+            .map(
+                |((p, a), t)| match t.elapsed() > Duration::from_millis(1500) {
+                    true => json!({"piece": p, "try": a, "phase": "ended", "cause": "done"}),
+                    false => json!({"piece": p, "try": a, "phase": "running"}),
+                },
+            )
+            .collect();
+        json!({"host": self.name, "endpoint": self.endpoint, "rig": "box", "site": "a", "loaners": false,
+            "tenure": 1, "tick": self.tick, "baton": self.baton, "recallS": null, "pieces": pieces, "new": {"unknown": 1}})
+    }
+}
+
+/// A cloud whose machines are up at once; each reports to the controllers in turn.
+fn cloud(fronts: Vec<String>, launched: Arc<Mutex<Vec<String>>>) -> SocketAddr {
+    let hosts: Arc<Mutex<Vec<Value>>> = Arc::default();
+    let names = Arc::new(Mutex::new(0u32));
+    serve(Arc::new(move |_, path, body| {
+        if path == "/machine_types" {
+            return (
+                200,
+                json!({"rigs": [{"sku": "box", "cpus": 8, "gpus": 2, "ramGb": 32, "localGb": 50, "fetchGbPerS": 1.0,
+                "hourly": 5.0, "marketPrice": 2.0, "bootS": 5, "sites": ["a"]}]}),
+            );
+        }
+        if path == "/rentals" && body["hire"].is_string() {
+            let mut n = names.lock().unwrap();
+            *n += 1;
+            let name = format!("host-{:06}", *n);
+            let w = Arc::new(Mutex::new(Worker {
+                name: name.clone(),
+                endpoint: String::new(),
+                tick: 0,
+                baton: 0,
+                tasks: BTreeMap::new(),
+                launched: launched.clone(),
+            }));
+            let mine = w.clone();
+            let addr = serve(Arc::new(move |_, _, b| {
+                let mut w = mine.lock().unwrap();
+                w.obey(b["baton"].as_u64().unwrap(), &b["orders"]);
+                (200, w.report())
+            }));
+            w.lock().unwrap().endpoint = addr.to_string();
+            hosts.lock().unwrap().push(
+                json!({"ref": name, "endpoint": addr.to_string(), "rig": "box", "site": "a",
+                "loaners": false, "phase": "running", "heldS": 1.0}),
+            );
+            let fronts = fronts.clone();
+            std::thread::spawn(move || {
+                for at in 0.. {
+                    let report = w.lock().unwrap().report();
+                    let body = report.to_string();
+                    if let Some((200, answer)) = http(
+                        &fronts[at % fronts.len()],
+                        "POST",
+                        "/checkin",
+                        body.as_bytes(),
+                    ) {
+                        w.lock()
+                            .unwrap()
+                            .obey(answer["baton"].as_u64().unwrap(), &answer["orders"]);
+                    }
+                    std::thread::sleep(Duration::from_millis(150));
+                }
+            });
+            return (200, json!({"hosts": [name]}));
+        }
+        if path.starts_with("/rentals/return") {
+            return (503, json!({"error": "trouble"}));
+        }
+        (
+            200,
+            json!({"hosts": *hosts.lock().unwrap(), "hasNext": false}),
+        )
+    }))
+}
+
+struct Node {
+    child: Child,
+    config: std::path::PathBuf,
+    front: String,
+}
+
+impl Node {
+    fn start(config: &std::path::Path, front: &str) -> Node {
+        let child = Command::new(env!("CARGO_BIN_EXE_chalklug"))
+            .args(["serve", "--config"])
+            .arg(config)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Node {
+            child,
+            config: config.into(),
+            front: front.into(),
+        }
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_ports(n: usize) -> Vec<u16> {
+    let held: Vec<TcpListener> = (0..n)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    held.iter()
+        .map(|l| l.local_addr().unwrap().port())
+        .collect()
+}
+
+fn wait_for<T>(what: &str, mut f: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + Duration::from_secs(90);
+    while Instant::now() < end {
+        if let Some(t) = f() {
+            return t;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("never came: {what}");
+}
+
+fn job(id: &str, pieces: u32) -> Value {
+    json!({"ref": id, "jobclass": "any", "crew": "blue", "shape": "array", "urgency": "normal", "pieces": pieces,
+        "cpus": 1.0, "gpus": 1.0, "ramGb": 4.0, "bundle": "img", "pullGb": 1.0, "rigs": null, "site": null,
+        "together": false, "scatter": false, "loaners": false, "guessS": 1.0, "markEveryS": 0.0, "markCostS": 0.0, "dueS": null})
+}
+
+fn submit(front: &str, body: &Value) -> Option<u16> {
+    http(front, "POST", "/submissions", body.to_string().as_bytes()).map(|(s, _)| s)
+}
+
+fn phase(front: &str, id: &str) -> Option<String> {
+    let (status, body) = http(front, "GET", &format!("/submissions/{id}"), b"")?;
+    (status == 200).then(|| body["phase"].as_str().unwrap().to_string())
+}
+
+fn bad_input(front: &str) {
+    let with = |name: &str, v: Value| {
+        let mut j = job("wk-000777", 1);
+        j[name] = v;
+        j
+    };
+    let without = |name: &str| {
+        let mut j = job("wk-000777", 1);
+        j.as_object_mut().unwrap().remove(name);
+        j
+    };
+    let malformed = [
+        json!([1]),
+        json!("text"),
+        without("crew"),
+        without("pieces"),
+        with("ref", json!("job-1")),
+        with("ref", json!(7)),
+        with("pieces", json!(0)),
+        with("pieces", json!(100_001)),
+        with("pieces", json!(1.5)),
+        with("pieces", json!(-1)),
+        with("cpus", json!(-1.0)),
+        with("gpus", json!("1")),
+        with("shape", json!("ring")),
+        with("urgency", json!("very")),
+        with("together", json!(null)),
+        with("guessS", json!(null)),
+        with("dueS", json!(-5)),
+        with("rigs", json!("box")),
+    ];
+    for m in malformed {
+        assert_eq!(submit(front, &m), Some(400), "{m}");
+    }
+    let post = |body: &[u8]| http(front, "POST", "/submissions", body).unwrap().0;
+    assert_eq!(post(b"not json"), 400);
+    assert_eq!(post(br#"{"ref":"wk-1","cpus":1e999}"#), 400);
+    assert_eq!(post(&vec![b' '; 70_000]), 413);
+    for never in [
+        with("crew", json!("nobody")),
+        with("gpus", json!(3.0)),
+        with("rigs", json!([])),
+        with("site", json!("z")),
+    ] {
+        assert_eq!(submit(front, &never), Some(422), "{never}");
+    }
+    let mut gang = job("wk-000777", 30);
+    gang["shape"] = json!("gang");
+    assert_eq!(submit(front, &gang), Some(422));
+    // A known job is known, however bad the repeat.
+    assert_eq!(submit(front, &job("wk-000776", 1)), Some(201));
+    let mut repeat = job("wk-000776", 1);
+    assert_eq!(submit(front, &repeat), Some(200));
+    repeat["crew"] = json!("nobody");
+    assert_eq!(submit(front, &repeat), Some(200));
+    repeat["pieces"] = json!(0);
+    assert_eq!(submit(front, &repeat), Some(200));
+    let status = |method: &str, path: &str| http(front, method, path, b"").unwrap().0;
+    assert_eq!(status("GET", "/submissions/wk-000777"), 404);
+    assert_eq!(status("GET", "/submissions/nonsense"), 404);
+    assert_eq!(status("POST", "/submissions/wk-000777/withdraw"), 404);
+    assert_eq!(status("GET", "/elsewhere"), 404);
+    assert_eq!(status("GET", "/submissions"), 405);
+    assert_eq!(status("POST", "/submissions/wk-000776"), 405);
+    assert_eq!(status("GET", "/submissions/wk-000776/withdraw"), 405);
+    assert_eq!(status("POST", "/healthz"), 405);
+    assert_eq!(http(front, "POST", "/checkin", b"{}").unwrap().0, 400);
+}
+
+#[test]
+fn three_processes_a_kill_and_a_restart() {
+    let ports = free_ports(6);
+    let fronts: Vec<String> = (0..3).map(|i| format!("127.0.0.1:{}", ports[i])).collect();
+    let launched = Arc::new(Mutex::new(Vec::new()));
+    let state = state_service();
+    let cloud = cloud(fronts.clone(), launched.clone());
+    let dir = std::env::temp_dir().join(format!("chalklug-loopback-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let mut nodes: Vec<Node> = (0..3)
+        .map(|i| {
+            let siblings: String = (0..3)
+                .filter(|j| *j != i)
+                .map(|j| format!("[[siblings]]\nhost_name = \"n{j}\"\nlocation = \"a\"\naddr = \"127.0.0.1:{}\"\n", ports[3 + j]))
+                .collect();
+            let text = format!(
+                "host_name = \"n{i}\"\nlocation = \"a\"\nfront = \"{}\"\npeer_bind = \"127.0.0.1:{}\"\nnew_field = 1\n{siblings}\n\
+                 [endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[facts]\nnodes = 3\nclock_error_ms = 10.0\n\
+                 [[facts.teams]]\nname = \"blue\"\ngpus = 4.0\ngpus_max = 20.0\n\
+                 [facts.workers]\nreport_s = 0.3\nlease_s = 20.0\ngang_wait_s = 20.0\ngang_peer_s = 4.0\ncancel_s = 30.0\n\
+                 [facts.state]\nrps = 1000.0\nwrite_rps = 500.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
+                 [facts.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[facts.quota]\ncores = 1.0\nmemory_mb = 500.0\nmax_sockets = 500\n",
+                fronts[i],
+                ports[3 + i]
+            );
+            let config = dir.join(format!("n{i}.toml"));
+            std::fs::write(&config, text).unwrap();
+            Node::start(&config, &fronts[i])
+        })
+        .collect();
+    for n in &nodes {
+        wait_for("health", || {
+            http(&n.front, "GET", "/healthz", b"").filter(|(s, _)| *s == 200)
+        });
+    }
+    wait_for("machine types", || {
+        submit(&fronts[0], &job("wk-000001", 4)).filter(|s| *s == 201 || *s == 200)
+    });
+    bad_input(&fronts[1]);
+    for f in &fronts {
+        wait_for("done", || phase(f, "wk-000001").filter(|p| p == "done"));
+    }
+    // A job is under way; the controllers are killed one by one and started again.
+    wait_for("taken", || {
+        submit(&fronts[1], &job("wk-000002", 12)).filter(|s| *s == 201)
+    });
+    for i in 0..3 {
+        let (config, front) = (nodes[i].config.clone(), nodes[i].front.clone());
+        nodes[i].child.kill().unwrap();
+        nodes[i].child.wait().unwrap();
+        assert!(
+            phase(&fronts[(i + 1) % 3], "wk-000002").is_some(),
+            "accepted jobs stay known"
+        );
+        nodes[i] = Node::start(&config, &front);
+        wait_for("health", || {
+            http(&front, "GET", "/healthz", b"").filter(|(s, _)| *s == 200)
+        });
+    }
+    wait_for("done after the kills", || {
+        phase(&fronts[0], "wk-000002").filter(|p| p == "done")
+    });
+    // What is done stays done, a cancellation is final, and nothing was launched twice.
+    assert_eq!(phase(&fronts[2], "wk-000001").as_deref(), Some("done"));
+    wait_for("taken", || {
+        submit(&fronts[2], &job("wk-000003", 1)).filter(|s| *s == 201)
+    });
+    let withdrawn = http(&fronts[0], "POST", "/submissions/wk-000003/withdraw", b"").unwrap();
+    assert_eq!(withdrawn.0, 200);
+    for f in &fronts {
+        assert_eq!(
+            phase(f, "wk-000003").as_deref(),
+            withdrawn.1["phase"].as_str()
+        );
+    }
+    let mut all = launched.lock().unwrap().clone();
+    let n = all.len();
+    all.sort();
+    all.dedup();
+    assert_eq!(all.len(), n, "each task was launched once");
+    let _ = std::fs::remove_dir_all(dir);
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,114 @@
+//! Settings: what is ignored, what is refused, and that an error names file, field and reason.
+
+use std::process::Command;
+
+const GOOD: &str = r#"
+host_name = "n0"
+location = "a"
+front = "127.0.0.1:0"
+peer_bind = "127.0.0.1:0"
+surprise = "ignored"
+[endpoints]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[facts]
+[[facts.teams]]
+name = "blue"
+gpus_max = 8.0
+[facts.workers]
+report_s = 3.0
+lease_s = 20.0
+gang_wait_s = 30.0
+gang_peer_s = 4.0
+cancel_s = 40.0
+[facts.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 4.0
+txn_ops = 8
+[facts.cloud]
+rps = 5.0
+list_lag_s = 6.0
+[facts.quota]
+cores = 0.1
+memory_mb = 100.0
+max_sockets = 1000
+"#;
+
+/// Runs `chalklug check`; the exit code and what it said.
+fn check(name: &str, platform: &str, operator: Option<&str>) -> (i32, String) {
+    let dir = std::env::temp_dir().join(format!("chalklug-settings-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let file = dir.join("platform.toml");
+    std::fs::write(&file, platform).unwrap();
+    let mut c = Command::new(env!("CARGO_BIN_EXE_chalklug"));
+    c.arg("check").arg("--config").arg(&file);
+    if let Some(text) = operator {
+        let own = dir.join("operator.json");
+        std::fs::write(&own, text).unwrap();
+        c.arg("--operator").arg(own);
+    }
+    let out = c.output().unwrap();
+    let _ = std::fs::remove_dir_all(dir);
+    (
+        out.status.code().unwrap(),
+        String::from_utf8_lossy(&out.stderr).into_owned(),
+    )
+}
+
+#[test]
+fn settings_are_checked() {
+    assert_eq!(check("good", GOOD, None).0, 0);
+    assert_eq!(check("own", GOOD, Some(r#"{"idle_boots": 2.0}"#)).0, 0);
+    let refused = [
+        (
+            "lease",
+            GOOD.replace("lease_s = 20.0", "lease_s = -1.0"),
+            None,
+            "facts.workers.lease_s",
+        ),
+        (
+            "missing",
+            GOOD.replace("lease_s = 20.0", ""),
+            None,
+            "lease_s",
+        ),
+        (
+            "addr",
+            GOOD.replace("127.0.0.1:1\"", "nowhere\""),
+            None,
+            "cloud",
+        ),
+        (
+            "unknown",
+            GOOD.into(),
+            Some(r#"{"idle_boot": 2.0}"#),
+            "idle_boot",
+        ),
+        (
+            "range",
+            GOOD.into(),
+            Some(r#"{"leader_life_ms": 10}"#),
+            "leader_life_ms",
+        ),
+    ];
+    for (name, platform, own, says) in refused {
+        let (code, text) = check(name, &platform, own);
+        assert_eq!(code, 2, "{name}: {text}");
+        let file = if own.is_some() {
+            "operator.json"
+        } else {
+            "platform.toml"
+        };
+        assert!(text.contains(says) && text.contains(file), "{name}: {text}");
+    }
+}
+
+#[test]
+fn the_committed_schema_is_the_code_s() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/operator.schema.json");
+    assert_eq!(
+        std::fs::read_to_string(path).unwrap(),
+        chalklug::settings::operator_schema()
+    );
+}
