--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -45,3 +45,20 @@
         now.0 < self.until.load(Ordering::Relaxed)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn authority_counts_from_sending_and_never_shrinks() {
+        let a = Authority::new(Baton(1), Millis(4000), Millis(300), Millis(1000));
+        let end = 1000 + 4000 - 300 - 9;
+        assert!(a.holds(Millis(end - 1)) && !a.holds(Millis(end)));
+        a.renewed(Millis(3000));
+        a.renewed(Millis(2000));
+        assert!(a.holds(Millis(end + 1999)) && !a.holds(Millis(end + 2000)));
+        a.resign();
+        assert!(!a.holds(Millis(3000)));
+    }
+}
