Machines rented and hints about classes and images are kept for a new leader

Cause: the cloud's list lags, so a new leader rented again what was already booting, and had forgotten arrivals, run times and cached images. A resigned leader's touch can no longer bring its authority back.

--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -310,8 +310,12 @@
         self.starts.values().filter(|s| !s.ended())
     }
 
-    /// The record for the given starts.
-    pub fn record<'a>(&self, starts: impl Iterator<Item = &'a (PieceId, Try)>) -> IntentRecord {
+    /// The record for the given starts. `day_ms` is the time of day at our steady clock's zero.
+    pub fn record<'a>(
+        &self,
+        day_ms: u64,
+        starts: impl Iterator<Item = &'a (PieceId, Try)>,
+    ) -> IntentRecord {
         let mut tasks: BTreeMap<JobId, Vec<(u32, Try)>> = BTreeMap::new();
         for (piece, attempt) in starts {
             tasks
@@ -323,6 +327,9 @@
             rig: self.rig.clone(),
             site: self.site.clone(),
             spot: self.spot,
+            rented_ms: day_ms.saturating_add_signed(self.since.0),
+            up: self.standing != Standing::Booting,
+            images: self.images.clone(),
             tasks,
         }
     }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -8,7 +8,8 @@
 //! | `o/JOB` | an open job; never rewritten, so its stamp stands for "still open" | whoever accepts |
 //! | `f/JOB` | the finish mark, kept for ever | whoever cancels; the leader when done |
 //! | `p/JOB/N` | done tasks of one chunk, a bit each | the leader |
-//! | `m/HOST` | launch intents: every start that may be on the machine | the leader |
+//! | `m/HOST` | launch intents: every start that may be on the machine; and hints about it | the leader |
+//! | `hints` | arrivals and run times seen, so that a new leader need not learn them again | the leader |
 
 use crate::ids::{Baton, HostId, JobId, PieceId, Rig, Site, Try};
 use crate::protocol::users::{JobPhase, JobSpec};
@@ -23,6 +24,8 @@
 pub const BATON: &str = "baton";
 /// Machine types, so that a controller can judge submissions while the cloud is down.
 pub const CATALOG: &str = "catalog";
+/// What was seen of job classes: hints for a new leader, nothing rests on them.
+pub const HINTS: &str = "hints";
 /// Prefix of open jobs.
 pub const OPEN: &str = "o/";
 /// Prefix of finish marks.
@@ -89,6 +92,15 @@
     pub rig: Rig,
     pub site: Site,
     pub spot: bool,
+    /// Time of day of the rental, in milliseconds since 1970; 0 if not known. Never for safety.
+    #[serde(default)]
+    pub rented_ms: u64,
+    /// Whether its worker had reported when this was written.
+    #[serde(default)]
+    pub up: bool,
+    /// Images that should be in its cache, least recently used first: a hint for a new leader.
+    #[serde(default)]
+    pub images: Vec<(String, f64)>,
     /// Job -> (task, try).
     pub tasks: BTreeMap<JobId, Vec<(u32, Try)>>,
 }
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -1,7 +1,7 @@
 //! Authority: until when a leader may act, on its own steady clock.
 
 use crate::ids::{Baton, Millis};
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 
 /// A leader's right to act. It lasts until the moment the last successful touch of the lease was
 /// *sent*, plus the lease's life, less a margin: the state service can't have ended the lease
@@ -12,6 +12,7 @@
     life: Millis,
     margin: Millis,
     until: AtomicI64,
+    resigned: AtomicBool,
 }
 
 impl Authority {
@@ -22,6 +23,7 @@
             life,
             margin,
             until: AtomicI64::new(i64::MIN),
+            resigned: AtomicBool::new(false),
         };
         a.renewed(sent);
         a
@@ -35,14 +37,14 @@
         self.until.fetch_max(until.0, Ordering::Relaxed);
     }
 
-    /// Gives authority up for good.
+    /// Gives authority up for good: a touch still under way can't bring it back.
     pub fn resign(&self) {
-        self.until.store(i64::MIN, Ordering::Relaxed);
+        self.resigned.store(true, Ordering::Relaxed);
     }
 
     /// Whether the leader may act at this moment.
     pub fn holds(&self, now: Millis) -> bool {
-        now.0 < self.until.load(Ordering::Relaxed)
+        !self.resigned.load(Ordering::Relaxed) && now.0 < self.until.load(Ordering::Relaxed)
     }
 }
 
@@ -59,6 +61,7 @@
         a.renewed(Millis(2000));
         assert!(a.holds(Millis(end + 1999)) && !a.holds(Millis(end + 2000)));
         a.resign();
+        a.renewed(Millis(9000));
         assert!(!a.holds(Millis(3000)));
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -176,6 +176,8 @@
     pub(crate) policy: Arc<Policy>,
     pub(crate) baton: Baton,
     pub(crate) lead_stamp: Stamp,
+    /// The time of day at the steady clock's zero: for hints about ages in records.
+    pub(crate) day_ms: u64,
     /// When this leadership began: no former leader has answered a worker since.
     pub(crate) began: Millis,
     pub(crate) rigs: BTreeMap<Rig, RigInfo>,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -9,11 +9,12 @@
 use crate::bookkeeping::ledger::{within, Amount, Job, Machine, Standing, Start};
 use crate::ids::{HostId, JobId, Millis, PieceId, Site, Try};
 use crate::protocol::users::{JobSpec, Shape, Urgency};
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Run times seen against those guessed, for one class.
-#[derive(Debug, Default, Clone, Copy)]
+#[derive(Debug, Default, Clone, Copy, Serialize, Deserialize)]
 pub struct Observed {
     ran_s: f64,
     guessed_s: f64,
@@ -64,6 +65,7 @@
         o.ran_s += (now - since).secs();
         o.guessed_s += job.spec.guess_s;
         o.count += 1;
+        self.writer.hints_news = true;
     }
 
     /// How long a task of the job should run: the owner's guess, corrected by what was seen of its
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -25,6 +25,9 @@
     /// Finish marks of jobs that intents name and that are no longer open.
     pub closed: Vec<FinalRecord>,
     pub rigs: Vec<RigInfo>,
+    pub hints: Option<Item>,
+    /// The time of day at the steady clock's zero, in milliseconds.
+    pub day_ms: u64,
 }
 
 /// Jobs named by intents that aren't open: their finish marks must be read too.
@@ -54,6 +57,7 @@
             policy: policy.clone(),
             baton,
             lead_stamp,
+            day_ms: found.day_ms,
             began: now,
             rigs: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -79,6 +83,12 @@
         for (record, stamp, submitted) in found.open {
             core.job_opened(record, stamp, submitted);
         }
+        if let Some(item) = found.hints {
+            core.writer.hints = item.stamp;
+            if let Ok(hints) = serde_json::from_value(item.data) {
+                core.load_hints(now, hints);
+            }
+        }
         for mark in found.closed {
             // Over, but its tasks may still be somewhere and count for their team.
             let id = mark.spec.id.clone();
@@ -129,7 +139,14 @@
             record.spot,
             now,
         );
-        m.standing = Standing::Up;
+        if record.up || !record.tasks.is_empty() {
+            m.standing = Standing::Up;
+        }
+        if record.rented_ms > 0 {
+            let since = Millis(record.rented_ms as i64 - self.day_ms as i64);
+            m.since = since.min(now);
+        }
+        m.images.clone_from(&record.images);
         m.stamp = item.stamp;
         for (piece, attempt) in record.starts() {
             let mut s = Start::planned(piece.clone(), attempt, now);
--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -2,12 +2,23 @@
 //! and their image fetched. How many follows from the arrivals seen: what comes in the time that a
 //! rental would take, and a little for chance.
 
+use super::placement::Observed;
 use super::Core;
 use crate::bookkeeping::ledger::Amount;
 use crate::ids::{HostId, Millis};
 use crate::protocol::users::JobSpec;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// What is kept on the state service for a new leader. Times are seconds ago.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Hints {
+    #[serde(default)]
+    observed: BTreeMap<String, Observed>,
+    #[serde(default)]
+    demand: BTreeMap<String, (f64, JobSpec)>,
+}
+
 /// What has been seen of one class.
 #[derive(Debug, Clone)]
 pub struct Demand {
@@ -28,6 +39,30 @@
 }
 
 impl Core {
+    pub(crate) fn hints(&self, now: Millis) -> Hints {
+        let demand = self.demand.iter();
+        Hints {
+            observed: self.observed.clone(),
+            demand: demand
+                .map(|(c, d)| (c.clone(), (d.rate_at(now), d.spec.clone())))
+                .collect(),
+        }
+    }
+
+    pub(crate) fn load_hints(&mut self, now: Millis, hints: Hints) {
+        self.observed = hints.observed;
+        for (class, (rate, spec)) in hints.demand {
+            self.demand.insert(
+                class,
+                Demand {
+                    rate,
+                    at: now,
+                    spec,
+                },
+            );
+        }
+    }
+
     /// Notes the arrival of a job.
     pub(crate) fn note_arrival(&mut self, spec: &JobSpec, at: Millis) {
         if self.policy.started_within(&spec.class).is_none() {
@@ -42,6 +77,7 @@
         d.rate = d.rate_at(at) + 1.0 / MEMORY_S;
         d.at = at.max(d.at);
         d.spec = spec.clone();
+        self.writer.hints_news = true;
     }
 
     /// How many tasks of each class there should be room for at once, beyond what runs.
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -5,8 +5,9 @@
 //! written.
 
 use super::{Core, Effect};
+use crate::bookkeeping::ledger::Standing;
 use crate::bookkeeping::records::{
-    final_key, intents_key, open_key, progress_key, FinalRecord, CHUNK, LEAD,
+    final_key, intents_key, open_key, progress_key, FinalRecord, CHUNK, HINTS, LEAD,
 };
 use crate::ids::{Epoch, HostId, JobId, Millis, PieceId, Stamp, Try};
 use crate::protocol::state::{Change, Guard, Item, Txn};
@@ -34,6 +35,8 @@
     Finish { job: JobId },
     /// A progress record left by a job that is over.
     DropProgress { key: String },
+    /// What was seen of classes.
+    Hints,
 }
 
 #[derive(Debug)]
@@ -64,8 +67,15 @@
     swept: BTreeMap<HostId, Stamp>,
     /// Progress records of jobs that are over.
     pub(crate) litter: BTreeMap<String, Stamp>,
+    /// The version of the hints, when they were last written, and whether there is news.
+    pub(crate) hints: Stamp,
+    hints_at: Millis,
+    pub(crate) hints_news: bool,
 }
 
+/// Hints are written at most this often.
+const HINTS_EVERY: Millis = Millis(10_000);
+
 /// A stale record waits this long for a write that is needed anyway.
 const STALE: Millis = Millis(4_000);
 /// The pause after a write that the service refused.
@@ -85,6 +95,9 @@
             progress: BTreeMap::new(),
             swept: BTreeMap::new(),
             litter: BTreeMap::new(),
+            hints: Stamp(0),
+            hints_at: Millis(0),
+            hints_news: false,
         }
     }
 
@@ -174,6 +187,7 @@
         self.draft_launches(&mut draft);
         self.draft_progress(&mut draft);
         self.draft_sweeping(now, &mut draft);
+        self.draft_hints(now, &mut draft);
         if draft.apply.is_empty() || !self.writer.budget.take(now, draft.apply.len() as f64) {
             return;
         }
@@ -246,7 +260,7 @@
                 }
                 starts.insert((s.piece.clone(), s.attempt));
             }
-            let Ok(data) = serde_json::to_value(m.record(starts.iter())) else {
+            let Ok(data) = serde_json::to_value(m.record(self.day_ms, starts.iter())) else {
                 continue;
             };
             let apply = vec![Change::put(intents_key(&m.id), data)];
@@ -315,18 +329,21 @@
             }
         }
         for m in self.machines.values() {
-            let ripe = m.stale_since.is_some_and(|t| now - t > STALE);
-            if !ripe || m.stamp == Stamp(0) || m.starts.values().any(|s| !s.durable) {
+            // A machine just rented gets a record at once: a new leader that didn't know of it would
+            // rent another in its place, for the cloud's list lags.
+            let new = m.stamp == Stamp(0) && m.standing != Standing::Returning;
+            let ripe = m.stale_since.is_some_and(|t| now - t > STALE) && m.stamp != Stamp(0);
+            if !(ripe || new) || m.starts.values().any(|s| !s.durable) {
                 continue;
             }
             let starts: BTreeSet<(PieceId, Try)> = m
                 .wanted_intents()
                 .map(|s| (s.piece.clone(), s.attempt))
                 .collect();
-            if starts == m.saved {
+            if starts == m.saved && !new {
                 continue;
             }
-            let Ok(data) = serde_json::to_value(m.record(starts.iter())) else {
+            let Ok(data) = serde_json::to_value(m.record(self.day_ms, starts.iter())) else {
                 continue;
             };
             let key = intents_key(&m.id);
@@ -341,6 +358,17 @@
         }
     }
 
+    fn draft_hints(&self, now: Millis, draft: &mut Draft) {
+        let due = self.writer.hints_news && now - self.writer.hints_at > HINTS_EVERY;
+        if let (true, Ok(data)) = (due, serde_json::to_value(self.hints(now))) {
+            let small = data.to_string().len() as f64 <= self.policy.facts.state.value_kb * 900.0;
+            if small {
+                let apply = vec![Change::put(HINTS.into(), data)];
+                draft.add(vec![(HINTS.into(), self.writer.hints)], apply, Work::Hints);
+            }
+        }
+    }
+
     pub(crate) fn written(&mut self, now: Millis, seq: u64, epoch: Epoch) {
         if !matches!(&self.writer.flight, Flight::Writing { seq: s, .. } if *s == seq) {
             return;
@@ -388,6 +416,11 @@
                 Work::DropProgress { key } => {
                     self.writer.litter.remove(&key);
                 }
+                Work::Hints => {
+                    self.writer.hints = stamp;
+                    self.writer.hints_at = now;
+                    self.writer.hints_news = false;
+                }
             }
         }
     }
@@ -452,6 +485,8 @@
                         why: "the leader key is no longer ours",
                     });
                 }
+            } else if key == HINTS {
+                self.writer.hints = stamp;
             } else if let Some(id) = key.strip_prefix(crate::bookkeeping::records::OPEN) {
                 self.open_reread(now, id, stamp);
             } else if let Some(host) = key.strip_prefix(crate::bookkeeping::records::INTENTS) {
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -4,7 +4,7 @@
 use super::state_client::{StateError, TxnOutcome, CALL};
 use super::{lock, time_of_day_ms, Node};
 use crate::bookkeeping::records::{
-    final_key, FinalRecord, LeadRecord, OpenRecord, BATON, INTENTS, LEAD, OPEN, PROGRESS,
+    final_key, FinalRecord, LeadRecord, OpenRecord, BATON, HINTS, INTENTS, LEAD, OPEN, PROGRESS,
 };
 use crate::coordination::leadership::Authority;
 use crate::coordination::recovery::{closed_jobs_named, Inheritance};
@@ -222,7 +222,8 @@
             duties.spawn(watch_jobs(node.clone(), epoch, end.clone()));
             duties.spawn(list_hosts(node.clone(), end.clone()));
             duties.spawn(tell_counts(node.clone(), end.clone()));
-            while duties.join_next().await.is_some() {}
+            end.cancelled().await;
+            duties.shutdown().await;
         }
         _ => tracing::info!(baton = %won.baton, "could not take over"),
     }
@@ -274,12 +275,15 @@
             closed.push(mark);
         }
     }
+    let hints = node.state.get(HINTS).await.ok()?;
     let found = Inheritance {
         open,
         progress,
         intents,
         closed,
         rigs: lock(&node.rigs).clone(),
+        hints,
+        day_ms: time_of_day_ms().saturating_sub(node.now().0.max(0) as u64),
     };
     Some((found, epoch))
 }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -213,6 +213,8 @@
             intents,
             closed,
             rigs: self.rigs.clone(),
+            hints: self.store.get(HINTS),
+            day_ms: 0,
         };
         self.seen_epoch = self.store.epoch;
         self.core = Some(Core::take_over(
