--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -67,6 +67,8 @@
 const DEAD_PLUS_S: f64 = 20.0;
 /// A machine being emptied is returned after this even if something on it doesn't end.
 const DRAIN_PATIENCE: Millis = Millis(20_000);
+/// Estimates of what runs are doubted by this much, in favour of a machine whose boot time is known.
+const DOUBT: f64 = 1.25;
 /// The forecast is made at most this often: it costs more than a placement does.
 const LOOK_EVERY: Millis = Millis(400);
 /// Tasks considered for renting in one pass.
@@ -80,7 +82,8 @@
     room: Amount,
     /// Room that tasks give back, and when; soonest first.
     freed: Vec<(f64, Amount)>,
-    image: Option<String>,
+    /// Images that are there, or will be.
+    images: Vec<String>,
     /// Stands by for this class only.
     class: Option<String>,
 }
@@ -177,7 +180,7 @@
                 from_s,
                 room,
                 freed: Vec::new(),
-                image: None,
+                images: Vec::new(),
                 class: None,
             };
             match m.standing {
@@ -192,6 +195,7 @@
                 Standing::Up if self.usable(m, now) => {
                     let mut b = bin(0.0, self.room_on(m));
                     b.class = self.reserved.get(&m.id).cloned();
+                    b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
                     for s in m.starts.values().filter(|s| !s.ended()) {
                         if let Some(job) = self.jobs.get(&s.piece.job) {
                             let run = self.estimate_s(&job.spec);
@@ -200,7 +204,7 @@
                                 None => run + self.wait_for_image(now, m, &job.spec),
                             };
                             // Past its estimate: it goes on for about as long again, in part.
-                            let rest = rest.max(run * 0.15).max(2.0);
+                            let rest = rest.max(run * 0.15).max(2.0) * DOUBT;
                             b.freed.push((rest, Amount::of(&job.spec)));
                         }
                     }
@@ -218,7 +222,7 @@
                     from_s: rest.max(1.0),
                     room: self.capacity(&h.kind.0),
                     freed: Vec::new(),
-                    image: None,
+                    images: Vec::new(),
                     class: None,
                 });
             }
@@ -306,12 +310,8 @@
             .filter(|(_, b)| b.class.as_ref().is_none_or(|c| *c == spec.class))
             .filter(|(_, b)| !ready || need.fits(&b.room))
             .map(|(i, b)| {
-                let cached = b.image.as_ref() == Some(&spec.image);
-                let wait = if cached || b.from_s <= 0.0 {
-                    0.0
-                } else {
-                    fetch(&b.kind.0)
-                };
+                let cached = b.images.contains(&spec.image);
+                let wait = if cached { 0.0 } else { fetch(&b.kind.0) };
                 (b.soonest(&need) + wait, i)
             })
             .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
@@ -327,7 +327,7 @@
                     kind,
                     from_s: boot,
                     freed: Vec::new(),
-                    image: Some(spec.image.clone()),
+                    images: vec![spec.image.clone()],
                     class: None,
                 });
                 (t, bins.len() - 1)
@@ -335,7 +335,9 @@
             (Some((t, i)), None) if t.is_finite() => (t, i),
             _ => return false,
         };
-        bins[i].image.get_or_insert_with(|| spec.image.clone());
+        if !bins[i].images.contains(&spec.image) {
+            bins[i].images.push(spec.image.clone());
+        }
         bins[i].take(at, &need, run);
         true
     }
