--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -303,12 +303,16 @@
             }
         };
         let run = self.estimate_s(spec);
+        let bulk = self.bulk(spec);
         let best = bins
             .iter()
             .enumerate()
             .filter(|(_, b)| Self::kind_allowed(spec, &b.kind))
             .filter(|(_, b)| b.class.as_ref().is_none_or(|c| *c == spec.class))
             .filter(|(_, b)| !ready || need.fits(&b.room))
+            // Small tasks will fill the gaps of a machine shared by several: a large task can't
+            // count on all of them ending.
+            .filter(|(_, b)| !bulk || b.freed.len() <= 1)
             .map(|(i, b)| {
                 let cached = b.images.contains(&spec.image);
                 let wait = if cached { 0.0 } else { fetch(&b.kind.0) };
