--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -48,10 +48,32 @@
     }
 }
 
+/// Whether a leader that hears no worker should hand over: it has machines that should report, none
+/// has for longer than the bound, and some sibling hears workers well within it. Without such a
+/// sibling nobody would do better.
+pub fn should_hand_over(
+    machines_up: usize,
+    own_silence: Millis,
+    siblings_silence: &[Option<Millis>],
+    bound: Millis,
+) -> bool {
+    machines_up > 0 && own_silence > bound && siblings_silence.iter().flatten().any(|s| *s < bound)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn only_a_leader_deaf_alone_hands_over() {
+        let (quiet, loud, bound) = (Millis(9000), Millis(100), Millis(6000));
+        let over = |n, own, sib: &[Option<Millis>]| should_hand_over(n, own, sib, bound);
+        assert!(over(3, quiet, &[None, Some(loud)]));
+        assert!(!over(3, loud, &[Some(loud)]), "it hears workers itself");
+        assert!(!over(0, quiet, &[Some(loud)]), "there is nobody to hear");
+        assert!(!over(3, quiet, &[None, Some(quiet)]), "nobody hears more");
+    }
+
     #[test]
     fn authority_counts_from_sending_and_never_shrinks() {
         let a = Authority::new(Baton(1), Millis(4000), Millis(300), Millis(1000));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,7 +12,7 @@
 pub mod worker_sessions;
 pub mod writer;
 
-use crate::bookkeeping::ledger::{Amount, Job, Machine};
+use crate::bookkeeping::ledger::{Amount, Job, Machine, Standing};
 use crate::bookkeeping::records::OpenRecord;
 use crate::ids::{Baton, Epoch, HostId, JobId, Millis, Rig, Site, Stamp, Tenure, Try};
 use crate::protocol::cloud::{CloudHost, RigInfo};
@@ -213,6 +213,12 @@
         self.baton
     }
 
+    /// Machines whose workers should be reporting.
+    pub fn machines_up(&self) -> usize {
+        let up = |m: &&Machine| m.standing == Standing::Up;
+        self.machines.values().filter(up).count()
+    }
+
     pub(crate) fn seq(&mut self) -> u64 {
         self.next_seq += 1;
         self.next_seq
--- a/src/duties/front.rs
+++ b/src/duties/front.rs
@@ -8,6 +8,7 @@
 use bytes::{Buf, BytesMut};
 use futures_util::{Stream, TryStreamExt};
 use serde::Serialize;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use warp::http::{Method, Response, StatusCode};
@@ -128,6 +129,7 @@
         Ok(r) => r,
         Err(e) => return Reply::error(400, &e.to_string()),
     };
+    node.last_check_in.store(node.now().0, Ordering::Relaxed);
     match node.leader.check_in(node.now(), &report) {
         CheckIn::Orders { baton, orders } => Reply::json(200, &CheckInReply { baton, orders }),
         CheckIn::GoTo(leader) => Reply::json(
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -6,13 +6,13 @@
 use crate::bookkeeping::records::{
     final_key, FinalRecord, LeadRecord, OpenRecord, BATON, HINTS, INTENTS, LEAD, OPEN, PROGRESS,
 };
-use crate::coordination::leadership::Authority;
+use crate::coordination::leadership::{should_hand_over, Authority};
 use crate::coordination::recovery::{closed_jobs_named, Inheritance};
 use crate::coordination::worker_sessions::CheckInAnswer;
 use crate::coordination::{Core, Effect, Event};
 use crate::ids::{Baton, Epoch, Hold, HostId, JobId, Millis, Stamp};
 use crate::protocol::cloud::{CloudHost, HostPage, RentReply, RentRequest, ReturnRequest};
-use crate::protocol::peers::PeerRequest;
+use crate::protocol::peers::{PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Guard, Item, Txn};
 use crate::protocol::workers::{Commands, Order, Report};
 use crate::transport::client::NoAnswer;
@@ -41,6 +41,8 @@
     active: Mutex<Option<Active>>,
     other: Mutex<Option<String>>,
     wake: Notify,
+    /// We handed over, and don't campaign before this.
+    stand_back: Mutex<Option<Millis>>,
 }
 
 impl LeaderCell {
@@ -104,7 +106,11 @@
                 *lock(&node.leader.other) = held.filter(|_| !mine);
                 // A leader key with our own name is that of our predecessor on this host, whose
                 // process has ended: there is no need to wait for its lease.
-                if item.is_none() || mine {
+                let now = node.now();
+                let back = (*lock(&node.leader.stand_back)).filter(|until| now < *until);
+                let wait = back
+                    .is_some_and(|until| item.is_none() && until - now > STAND_BACK - NOBODY_ELSE);
+                if (item.is_none() || mine) && !wait {
                     let stamp = item.map(|i| i.stamp).unwrap_or_default();
                     if let Some(won) = take_lead(&node, stamp).await {
                         *lock(&node.leader.other) = None;
@@ -222,6 +228,8 @@
             duties.spawn(watch_jobs(node.clone(), epoch, end.clone()));
             duties.spawn(list_hosts(node.clone(), end.clone()));
             duties.spawn(tell_counts(node.clone(), end.clone()));
+            let authority = won.authority.clone();
+            duties.spawn(listen_for_workers(node.clone(), authority, end.clone()));
             end.cancelled().await;
             duties.shutdown().await;
         }
@@ -401,6 +409,52 @@
     Ok((a.status, a.body))
 }
 
+/// Hands the leadership over when we alone hear no workers: guards against a leader whose workers'
+/// leases all run out while siblings could answer them. We stop acting first, then end the lease.
+async fn listen_for_workers(node: Arc<Node>, authority: Arc<Authority>, end: CancellationToken) {
+    let began = node.now();
+    let report = node.policy.facts.workers.report_s;
+    let bound = Millis::from_secs(report * 2.5 + 0.5);
+    loop {
+        tokio::select! {
+            _ = end.cancelled() => return,
+            _ = tokio::time::sleep(Duration::from_secs(1)) => {}
+        }
+        let since_began = node.now() - began;
+        let silence = node
+            .workers_heard()
+            .map_or(since_began, |s| s.min(since_began));
+        if silence <= bound {
+            continue;
+        }
+        let up = lock(&node.leader.active)
+            .as_ref()
+            .map_or(0, |a| a.core.machines_up());
+        let mut heard = Vec::new();
+        for s in &node.siblings {
+            let hello = s.ask(&PeerRequest::Hello, Duration::from_millis(400)).await;
+            heard.push(match hello {
+                Some(PeerReply::Hello {
+                    state_ok: true,
+                    workers_heard_ms: Some(ms),
+                }) => Some(Millis(ms)),
+                _ => None,
+            });
+        }
+        if should_hand_over(up, silence, &heard, bound) {
+            tracing::info!("no worker reaches us, but a sibling hears them: handing over");
+            *lock(&node.leader.stand_back) = Some(node.now() + STAND_BACK);
+            authority.resign();
+            end.cancel();
+            return;
+        }
+    }
+}
+
+/// After handing over we don't campaign for this long, unless nobody else takes the lead.
+const STAND_BACK: Millis = Millis(20_000);
+const NOBODY_ELSE: Millis = Millis(4_000);
+
 /// Tells siblings the task counts, for display in their answers to polls.
 async fn tell_counts(node: Arc<Node>, end: CancellationToken) {
     let mut told = Vec::new();
--- a/src/duties/mod.rs
+++ b/src/duties/mod.rs
@@ -16,6 +16,7 @@
 use leader::LeaderCell;
 use state_client::StateClient;
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio_util::sync::CancellationToken;
@@ -35,6 +36,8 @@
     pub finals: Mutex<users::FinalCache>,
     pub user_slots: tokio::sync::Semaphore,
     pub stop: CancellationToken,
+    /// When a worker last reported here, whatever it was answered; negative: never.
+    pub last_check_in: AtomicI64,
     began: Instant,
 }
 
@@ -43,6 +46,12 @@
     pub fn now(&self) -> Millis {
         Millis(self.began.elapsed().as_millis() as i64)
     }
+
+    /// How long ago a worker last reported here.
+    pub fn workers_heard(&self) -> Option<Millis> {
+        let at = self.last_check_in.load(Ordering::Relaxed);
+        (at >= 0).then(|| self.now() - Millis(at))
+    }
 }
 
 /// Time of day, in milliseconds; for deadlines only.
@@ -98,6 +107,7 @@
         finals: Mutex::new(users::FinalCache::default()),
         user_slots: tokio::sync::Semaphore::new(settings.operator.max_user_requests),
         stop: stop.clone(),
+        last_check_in: AtomicI64::new(-1),
         began: Instant::now(),
         settings,
     });
--- a/src/duties/peers.rs
+++ b/src/duties/peers.rs
@@ -20,6 +20,7 @@
             match request {
                 PeerRequest::Hello => PeerReply::Hello {
                     state_ok: node.state.since_ok() < STATE_FRESH,
+                    workers_heard_ms: node.workers_heard().map(|m| m.0),
                 },
                 PeerRequest::Forward { method, path, body } => {
                     let answer = front::user_request(&node, &method, &path, &body, true).await;
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -6,7 +6,7 @@
 /// What one controller asks of another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerRequest {
-    /// Is the state service reachable from where you are?
+    /// Is the state service reachable from where you are, and do workers reach you?
     Hello,
     /// Answer this user's request for me: the state service refuses me. Never passed on again.
     Forward {
@@ -21,7 +21,14 @@
 /// The answer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
-    Hello { state_ok: bool },
-    Answer { status: u16, body: Vec<u8> },
+    Hello {
+        state_ok: bool,
+        /// Milliseconds since a worker last reported here, if one ever did.
+        workers_heard_ms: Option<i64>,
+    },
+    Answer {
+        status: u16,
+        body: Vec<u8>,
+    },
     Noted,
 }
