--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -31,6 +31,8 @@
     refused: BTreeMap<Kind, (Millis, Millis)>,
     /// Returns that failed: not tried again before.
     return_after: Millis,
+    /// Zones taken to be cut off, until then.
+    suspected: BTreeMap<Site, Millis>,
     /// When the forecast was last made.
     looked: Millis,
     calls: Budget,
@@ -44,6 +46,7 @@
             hired: 0,
             refused: BTreeMap::new(),
             return_after: Millis(0),
+            suspected: BTreeMap::new(),
             looked: Millis(i64::MIN / 4),
             calls: Budget::new(cloud_rps * 0.6, cloud_rps * 0.6),
         }
@@ -417,24 +420,47 @@
             })
     }
 
-    fn return_machines(&mut self, now: Millis, wanted: bool) {
+    /// Silent machines that are returned rather than waited for.
+    ///
+    /// Guards against giving a whole zone away when it is the network that is silent: on a day with
+    /// a cut of 20 s between two zones every machine beyond it was returned, one by one as each
+    /// crossed the bound, though their leases would have outlasted it. So what counts is how many
+    /// of a zone have fallen quiet by now, not how many have been silent for long enough.
+    ///
+    /// When a cut ends, machines report one after the other: the zone stays suspected for as long as
+    /// the last of them may take.
+    fn given_up(&mut self, now: Millis) -> BTreeSet<HostId> {
         let silence = self.policy.silence();
-        let up = self
-            .machines
-            .values()
-            .filter(|m| m.standing == Standing::Up)
-            .count();
-        let silent: Vec<&Machine> = self
-            .machines
-            .values()
-            .filter(|m| m.silent(now, silence) && now - self.began > silence)
-            .collect();
-        // Guards against giving the fleet away when it is we who can't hear.
-        let cap = ((up as f64 * self.policy.operator.give_up_share).ceil() as usize).max(1);
-        let mut back: BTreeSet<HostId> = BTreeSet::new();
-        if silent.len() <= cap {
-            back.extend(silent.iter().map(|m| m.id.clone()));
+        if now - self.began <= silence {
+            return BTreeSet::new();
+        }
+        let quiet = Millis::from_secs(self.policy.facts.workers.report_s * 2.0);
+        let mut zones: BTreeMap<Site, (f64, f64)> = BTreeMap::new();
+        for m in self.machines.values() {
+            let lost = m.standing == Standing::Returning && m.heard.is_none_or(|h| now - h > quiet);
+            if m.standing == Standing::Up || lost {
+                let z = zones.entry(m.site.clone()).or_default();
+                z.0 += 1.0;
+                z.1 += f64::from(u8::from(lost || m.silent(now, quiet)));
+            }
         }
+        let share = self.policy.operator.give_up_share;
+        for (site, (up, lost)) in zones {
+            if lost > (up * share).max(2.0) {
+                self.fleet.suspected.insert(site, now + quiet);
+            }
+        }
+        self.fleet.suspected.retain(|_, until| now < *until);
+        self.machines
+            .values()
+            .filter(|m| m.silent(now, silence))
+            .filter(|m| !self.fleet.suspected.contains_key(&m.site))
+            .map(|m| m.id.clone())
+            .collect()
+    }
+
+    fn return_machines(&mut self, now: Millis, wanted: bool) {
+        let mut back: BTreeSet<HostId> = self.given_up(now);
         for m in self.machines.values() {
             if m.standing == Standing::Returning {
                 continue;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -139,7 +139,8 @@
     pub silent_reports: f64,
     /// Errors of different jobs on one machine, with no success between, that make it sick.
     pub sick_errors: u32,
-    /// Largest part of the fleet given up as silent within one lease.
+    /// Largest part of a zone's machines that may be quiet at once for any of them to be given up
+    /// before its lease is over; beyond it, the network is suspected.
     pub give_up_share: f64,
     /// User requests handled at once; more are told to come back.
     pub max_user_requests: usize,
