--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -4,7 +4,8 @@
 use super::state_client::{StateError, TxnOutcome, CALL};
 use super::{lock, time_of_day_ms, Node};
 use crate::bookkeeping::records::{
-    final_key, FinalRecord, LeadRecord, OpenRecord, BATON, HINTS, INTENTS, LEAD, OPEN, PROGRESS,
+    final_key, FinalRecord, IntentRecord, LeadRecord, OpenRecord, BATON, HINTS, INTENTS, LEAD,
+    OPEN, PROGRESS,
 };
 use crate::coordination::leadership::{should_hand_over, Authority};
 use crate::coordination::recovery::{closed_jobs_named, Inheritance};
@@ -275,6 +276,13 @@
     let (open, epoch) = node.state.list(OPEN).await.ok()?;
     let (progress, _) = node.state.list(PROGRESS).await.ok()?;
     let (intents, _) = node.state.list(INTENTS).await.ok()?;
+    // Guards against taking a start for never launched because its record can't be read.
+    for item in &intents {
+        if let Err(e) = serde_json::from_value::<IntentRecord>(item.data.clone()) {
+            tracing::error!(key = %item.key, error = %e, "an intent record can't be read: not leading");
+            return None;
+        }
+    }
     let open = read_open(node, open);
     let mut closed = Vec::new();
     for id in closed_jobs_named(&open, &intents) {
