--- /dev/null
+++ b/tests/protocol.rs
@@ -0,0 +1,151 @@
+//! What goes over each wire, in the protocol's own words, and what is made of words not yet known.
+
+use chalklug::ids::*;
+use chalklug::protocol::cloud::{CloudPhase, HostPage};
+use chalklug::protocol::peers::{PeerReply, PeerRequest};
+use chalklug::protocol::state::{Change, Guard, NewsPage, Txn};
+use chalklug::protocol::users::{parse_submission, Shape, Urgency};
+use chalklug::protocol::workers::{Cause, CheckInReply, Order, PiecePhase, Report};
+use serde_json::json;
+
+#[test]
+fn a_submission_reads_and_writes_back() {
+    let sent = json!({"ref":"wk-000412","jobclass":"train","crew":"vision","shape":"standing","urgency":"urgent","pieces":16,
+        "cpus":8.0,"gpus":1.0,"ramGb":64.0,"bundle":"img-07","pullGb":6.2,"rigs":["g8"],"site":"a","together":true,
+        "scatter":false,"loaners":true,"guessS":240.0,"markEveryS":30.0,"markCostS":4.0,"dueS":900.0});
+    let spec = parse_submission(sent.to_string().as_bytes()).unwrap();
+    assert_eq!(
+        (spec.shape, spec.urgency),
+        (Shape::Service, Urgency::Urgent)
+    );
+    assert_eq!(serde_json::to_value(&spec).unwrap(), sent);
+    let mut less = sent.clone();
+    for optional in ["rigs", "site", "dueS"] {
+        less.as_object_mut().unwrap().remove(optional);
+    }
+    less["unheard_of"] = json!([1, 2]);
+    let spec = parse_submission(less.to_string().as_bytes()).unwrap();
+    assert_eq!((spec.rigs, spec.site, spec.due_s), (None, None, None));
+    assert!(Urgency::Low < Urgency::Normal && Urgency::Urgent < Urgency::Production);
+}
+
+#[test]
+fn a_bad_submission_keeps_a_readable_id() {
+    let bad = parse_submission(br#"{"ref":"wk-000007","pieces":"many"}"#).unwrap_err();
+    assert_eq!(bad.id, JobId::parse("wk-000007"));
+    for id in ["job-1", "wk-", "wk-1x", "wk-1/2", ""] {
+        assert_eq!(JobId::parse(id), None, "{id}");
+    }
+}
+
+#[test]
+fn reports_are_read_carefully() {
+    let r: Report = serde_json::from_value(
+        json!({"host":"host-000231","endpoint":"10.1.0.232:9000","rig":"g8","site":"a",
+        "loaners":true,"tenure":1,"tick":88,"baton":41,"recallS":null,"pieces":[
+            {"piece":"wk-000412/3","try":2,"phase":"pulling"},
+            {"piece":"wk-000412/4","try":2,"phase":"dreaming"},
+            {"piece":"wk-000398/0","try":1,"phase":"ended","cause":"mates_gone","stored":true},
+            {"piece":"wk-000398/1","try":1,"phase":"ended","cause":"struck_by_lightning"}]}),
+    )
+    .unwrap();
+    let phases: Vec<PiecePhase> = r.pieces.iter().map(|p| p.phase).collect();
+    // A phase not known counts as present, a cause not known as an error.
+    assert_eq!(phases[..2], [PiecePhase::Fetching, PiecePhase::Running]);
+    assert_eq!(r.pieces[2].cause, Some(Cause::MatesGone));
+    assert_eq!(r.pieces[3].cause, Some(Cause::Error));
+    assert!(r.pieces[2].stored && r.baton == Baton(41));
+}
+
+#[test]
+fn orders_and_transactions_are_written_as_the_protocol_says() {
+    let piece = PieceId::parse("wk-000377/1").unwrap();
+    let reply = CheckInReply {
+        baton: Baton(41),
+        orders: vec![
+            Order::Launch {
+                piece: piece.clone(),
+                attempt: Try(2),
+            },
+            Order::Stop {
+                piece: piece.clone(),
+                attempt: Try(1),
+                grace_s: 10.0,
+            },
+            Order::Clear {
+                piece,
+                attempt: Try(1),
+            },
+        ],
+    };
+    assert_eq!(
+        serde_json::to_value(&reply).unwrap(),
+        json!({"baton":41,"orders":[{"verb":"launch","piece":"wk-000377/1","try":2},
+            {"verb":"stop","piece":"wk-000377/1","try":1,"windDownS":10.0},{"verb":"clear","piece":"wk-000377/1","try":1}]})
+    );
+    let txn = Txn {
+        guards: vec![Guard {
+            key: "a/b".into(),
+            stamp: Stamp(0),
+        }],
+        apply: vec![
+            Change::Put {
+                put: "a/b".into(),
+                data: json!(1),
+                hold: Some(Hold(7)),
+            },
+            Change::put("e".into(), json!({})),
+            Change::Delete {
+                delete: "c/d".into(),
+            },
+        ],
+    };
+    assert_eq!(
+        serde_json::to_value(&txn).unwrap(),
+        json!({"guards":[{"key":"a/b","stamp":0}],"apply":[{"put":"a/b","data":1,"hold":7},{"put":"e","data":{}},{"delete":"c/d"}]})
+    );
+}
+
+#[test]
+fn lists_and_news_are_read() {
+    let page: HostPage = serde_json::from_value(
+        json!({"hosts":[{"ref":"host-000231","endpoint":"x","rig":"g8","site":"a",
+        "loaners":true,"phase":"starting","heldS":61.5}],"hasNext":true}),
+    )
+    .unwrap();
+    assert!(page.more && page.hosts[0].phase == CloudPhase::Starting);
+    let news: NewsPage = serde_json::from_value(
+        json!({"epoch":433,"news":[{"put":"c/9","data":{"x":1},"stamp":433},
+        {"delete":"c/d","stamp":432}]}),
+    )
+    .unwrap();
+    assert_eq!(news.news[1].delete.as_deref(), Some("c/d"));
+    assert_eq!(news.news[0].put.as_deref(), Some("c/9"));
+}
+
+#[test]
+fn peers_understand_each_other() {
+    let forward = PeerRequest::Forward {
+        method: "POST".into(),
+        path: "/submissions".into(),
+        body: b"{}".to_vec(),
+    };
+    let bytes = postcard::to_stdvec(&forward).unwrap();
+    let back: PeerRequest = postcard::from_bytes(&bytes).unwrap();
+    assert!(
+        matches!(back, PeerRequest::Forward { method, body, .. } if method == "POST" && body == b"{}")
+    );
+    let bytes = postcard::to_stdvec(&PeerReply::Hello {
+        state_ok: true,
+        workers_heard_ms: Some(5),
+    })
+    .unwrap();
+    let back: PeerReply = postcard::from_bytes(&bytes).unwrap();
+    assert!(matches!(
+        back,
+        PeerReply::Hello {
+            state_ok: true,
+            workers_heard_ms: Some(5)
+        }
+    ));
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -213,6 +213,7 @@
             let at = w.now + Millis(10_000);
             w.workers.get_mut(&h).unwrap().recall_at = Some(at);
         }
+        "end-of-day" => w.checker.at_end(w.now),
         "cloud-down" => w.cloud_down = until,
         "state-down" => w.state_down = until,
         "state-mute" => w.state_mute = until,
