--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -263,8 +263,7 @@
     pub direct_after: Millis,
     /// No new work before this time (refused a start for want of room).
     pub full_until: Millis,
-    /// Listed by the cloud at least once; listed as failed; missing from its lists since.
-    pub listed: bool,
+    /// Listed by the cloud as failed; missing from its lists since.
     pub list_failed: bool,
     pub missing_since: Option<Millis>,
 }
@@ -299,7 +298,6 @@
             direct_seq: None,
             direct_after: now,
             full_until: now,
-            listed: false,
             list_failed: false,
             missing_since: None,
         }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -557,7 +557,6 @@
                 m.answered = began;
                 m
             });
-            m.listed = true;
             if m.endpoint.is_empty() {
                 m.endpoint = h.endpoint;
             }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -193,7 +193,6 @@
     pub(crate) next_try: u64,
     /// Something changed that placement should look at.
     pub(crate) dirty: bool,
-    pub(crate) last_pass: Millis,
     pub(crate) last_recheck: Millis,
     /// Observed against guessed run times, per class: an estimate for slack and for renting.
     pub(crate) observed: BTreeMap<String, placement::Observed>,
@@ -280,7 +279,6 @@
         }
         if self.dirty {
             self.dirty = false;
-            self.last_pass = now;
             self.stop_unwanted(now);
             self.choose_standby(now);
             let unmet = self.place(now);
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -68,7 +68,6 @@
             next_seq: 0,
             next_try: 0,
             dirty: true,
-            last_pass: now,
             last_recheck: now,
             observed: BTreeMap::new(),
             demand: BTreeMap::new(),
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -5,7 +5,7 @@
 
 use super::{Core, Effect};
 use crate::bookkeeping::ledger::{DirectCarrier, Machine, Seen, Standing, Start, StopWish};
-use crate::ids::{Baton, HostId, JobId, Millis, PieceId, Tenure, Tick, Try};
+use crate::ids::{HostId, JobId, Millis, PieceId, Tenure, Try};
 use crate::protocol::users::Shape;
 use crate::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
 
@@ -736,18 +736,6 @@
             orders,
         });
     }
-
-    /// For tests and logs: the newest message seen of a machine.
-    pub fn session(&self, host: &HostId) -> Option<(Tenure, Tick, bool)> {
-        self.machines
-            .get(host)
-            .map(|m| (m.tenure, m.tick, m.confirmed))
-    }
-
-    /// Whether a report carries our baton.
-    pub fn is_ours(&self, baton: Baton) -> bool {
-        baton == self.baton
-    }
 }
 
 /// Orders in one message: keeps its line well under 64 KiB.
