--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -1,7 +1,10 @@
 //! Ledgers in memory: jobs, machines, starts and what teams use.
 
-use super::records::{DoneSet, IntentRecord};
-use crate::ids::{HostId, JobId, Millis, PieceId, Rig, Site, Stamp, Tenure, Tick, Try};
+use super::records::DoneSet;
+use crate::ids::{
+    Baton, HostId, Image, JobId, Millis, PageNo, PieceId, Rig, Site, Stamp, TeamNo, Tenure, Tick,
+    Try,
+};
 use crate::protocol::users::{JobSpec, Shape};
 use crate::protocol::workers::{Cause, PiecePhase};
 use std::collections::{BTreeMap, BTreeSet};
@@ -77,6 +80,8 @@
 #[derive(Debug)]
 pub struct Job {
     pub spec: JobSpec,
+    /// Its team, if the settings know it.
+    pub team: Option<TeamNo>,
     /// Version of the open record: the guard of every write on the job's behalf.
     pub stamp: Stamp,
     /// When it was accepted, on our steady clock.
@@ -90,6 +95,10 @@
     pub pending: BTreeSet<u32>,
     /// Where tasks may be. More than one place only after taking over.
     pub places: BTreeMap<u32, Vec<HostId>>,
+    /// Starts of it in the ledger, and how many were seen running and have not ended since: kept in
+    /// step by `starts.rs`.
+    pub listed: u32,
+    pub running: u32,
     /// No start before this: backs off after failures.
     pub not_before: Millis,
     pub failures: u32,
@@ -99,9 +108,10 @@
 
 impl Job {
     /// A job of which nothing has happened yet.
-    pub fn new(spec: JobSpec, stamp: Stamp, submitted: Millis) -> Job {
+    pub fn new(spec: JobSpec, team: Option<TeamNo>, stamp: Stamp, submitted: Millis) -> Job {
         let n = spec.pieces;
         Job {
+            team,
             stamp,
             submitted,
             over: false,
@@ -109,6 +119,8 @@
             unsaved: BTreeSet::new(),
             pending: (0..n).collect(),
             places: BTreeMap::new(),
+            listed: 0,
+            running: 0,
             not_before: Millis(i64::MIN / 4),
             failures: 0,
             failed_on: BTreeSet::new(),
@@ -123,6 +135,15 @@
     pub fn wants(&self, index: u32) -> bool {
         !self.over && index < self.spec.pieces && !self.done.has(index)
     }
+    /// What its unfinished tasks take together.
+    pub fn left(&self) -> Amount {
+        let left = self.spec.pieces - self.done.count().min(self.spec.pieces);
+        Amount::of(&self.spec).times(f64::from(left))
+    }
+    /// A gang of more than one task of which none has completed: all of it runs, or nothing.
+    pub fn stands_together(&self) -> bool {
+        self.spec.shape == Shape::Gang && self.spec.pieces > 1 && self.done.count() == 0
+    }
 }
 
 /// A launch sent to `/commands`.
@@ -132,8 +153,9 @@
     None,
     /// Sent, the answer is awaited.
     InFlight(u64),
-    /// No answer came: it may execute at any time in this tenure.
-    Lost(Tenure),
+    /// No answer came: it may execute at any time in this tenure, until the worker has seen a higher
+    /// baton than this.
+    Lost(Tenure, Baton),
 }
 
 /// What a report said of a start.
@@ -144,6 +166,8 @@
     pub stored: bool,
     /// Since when it has been in this phase, as far as we know.
     pub since: Millis,
+    /// The message that said so.
+    pub at: (Tenure, Tick),
 }
 
 /// A wish that a start end.
@@ -159,13 +183,22 @@
 pub struct Start {
     pub piece: PieceId,
     pub attempt: Try,
-    /// The intent is on the state service: only then may it be launched.
-    pub durable: bool,
+    /// What it takes of its machine and of its team, and the image it needs: kept here so that
+    /// sums need no look at the job.
+    pub need: Amount,
+    pub team: Option<TeamNo>,
+    pub image: Option<Image>,
+    /// Whether its job was a latency job when it was placed.
+    pub latency: bool,
+    /// The page on the state service that holds the intent: only then may it be launched.
+    pub page: Option<PageNo>,
     /// The tick of the check-in whose answer carried the launch, until settled.
     pub checkin_carrier: Option<Tick>,
     pub direct: DirectCarrier,
     /// The tenure in which we launched it. None: never launched by us.
     pub launched_in: Option<Tenure>,
+    /// The highest baton of a direct command that launched it.
+    pub launched_with: Option<Baton>,
     /// Left by a former leader and not yet resolved by a report that carries our baton.
     pub inherited: bool,
     pub seen: Option<Seen>,
@@ -177,15 +210,27 @@
 }
 
 impl Start {
-    /// A start that is only planned.
-    pub fn planned(piece: PieceId, attempt: Try, now: Millis) -> Start {
+    /// A start that is only planned. Without a job (over and forgotten) `need` stands for all that
+    /// it might take.
+    pub fn planned(
+        piece: PieceId,
+        attempt: Try,
+        job: Option<&Job>,
+        need: Amount,
+        now: Millis,
+    ) -> Start {
         Start {
             piece,
             attempt,
-            durable: false,
+            need: job.map_or(need, |j| Amount::of(&j.spec)),
+            team: job.and_then(|j| j.team),
+            image: job.map(|j| j.spec.image.clone()),
+            latency: false,
+            page: None,
             checkin_carrier: None,
             direct: DirectCarrier::None,
             launched_in: None,
+            launched_with: None,
             inherited: false,
             seen: None,
             stop: None,
@@ -206,8 +251,15 @@
     pub fn untouched(&self) -> bool {
         !self.inherited && self.launched_in.is_none() && self.seen.is_none()
     }
+    /// Seen running, and not ended since.
+    pub fn runs(&self) -> bool {
+        self.running_since.is_some() && !self.ended()
+    }
 }
 
+/// Check-ins in a row that show nothing of what we answered before: the machine counts as deaf.
+pub const UNHEEDED: u32 = 2;
+
 /// How a machine stands with us.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -232,19 +284,34 @@
     pub since: Millis,
     pub tenure: Tenure,
     pub tick: Tick,
-    /// A report with our baton has been seen in this leadership.
+    /// The last check-in: any with a place not above it is a copy.
+    pub checked_in: (Tenure, Tick),
+    /// Known from our records, from a rental of ours, from the cloud, or by having shown our baton: a
+    /// late copy of a report alone vouches for nothing.
+    pub vouched: bool,
+    /// A report with a baton of this leadership has been seen.
     pub confirmed: bool,
+    /// The highest baton that we answered it with, and that it has shown.
+    pub told: Baton,
+    pub shown: Baton,
+    /// Check-ins in a row that showed nothing of what we had answered, and since when it has counted
+    /// as deaf.
+    pub unheeded: u32,
+    pub deaf_since: Option<Millis>,
+    /// Deliberately not answered any more, so that its lease runs out.
+    pub shunned: bool,
     /// When its last message arrived.
     pub heard: Option<Millis>,
     /// When an entitled controller may last have answered it (our takeover, for former leaders).
     pub answered: Millis,
     /// Every start that may be on it, tombstones included.
     pub starts: BTreeMap<(PieceId, Try), Start>,
-    /// The intents as last written (None: no record) and the record's version.
-    pub saved: BTreeSet<(PieceId, Try)>,
-    pub stamp: Stamp,
-    /// Since when the record has held starts that are gone.
-    pub stale_since: Option<Millis>,
+    /// What is free on it, and how many starts have not ended: kept in step by `starts.rs`.
+    pub free: Amount,
+    pub live: u32,
+    /// The page on the state service that lists it, and whether that is written.
+    pub page: Option<PageNo>,
+    pub noted: bool,
     /// The cloud takes it away at this time.
     pub recall_at: Option<Millis>,
     /// No new work (sick, silent too often, or to be returned).
@@ -253,7 +320,7 @@
     /// Emptied for this job, which alone may use it until then.
     pub kept_for: Option<(JobId, Millis)>,
     /// Images that should be in its cache, least recently used first.
-    pub images: Vec<(String, f64)>,
+    pub images: Vec<(Image, f64)>,
     /// Idle since.
     pub idle_since: Option<Millis>,
     /// Jobs whose tasks failed here with no success between.
@@ -269,8 +336,15 @@
 }
 
 impl Machine {
-    /// A machine of which nothing is known but its name and kind.
-    pub fn new(id: HostId, rig: Rig, site: Site, spot: bool, now: Millis) -> Machine {
+    /// A machine of which nothing is known but its name and kind, and what such a machine offers.
+    pub fn new(
+        id: HostId,
+        rig: Rig,
+        site: Site,
+        spot: bool,
+        whole: Amount,
+        now: Millis,
+    ) -> Machine {
         Machine {
             id,
             endpoint: String::new(),
@@ -281,13 +355,21 @@
             since: now,
             tenure: Tenure(0),
             tick: Tick(0),
+            checked_in: (Tenure(0), Tick(0)),
+            vouched: true,
             confirmed: false,
+            told: Baton(0),
+            shown: Baton(0),
+            unheeded: 0,
+            deaf_since: None,
+            shunned: false,
             heard: None,
             answered: now,
             starts: BTreeMap::new(),
-            saved: BTreeSet::new(),
-            stamp: Stamp(0),
-            stale_since: None,
+            free: whole,
+            live: 0,
+            page: None,
+            noted: false,
             recall_at: None,
             drain: false,
             drain_since: None,
@@ -303,33 +385,20 @@
         }
     }
 
-    /// Starts that must stand in the record: all but tombstones.
-    pub fn wanted_intents(&self) -> impl Iterator<Item = &Start> {
+    /// Starts that have not ended.
+    pub fn going(&self) -> impl Iterator<Item = &Start> {
         self.starts.values().filter(|s| !s.ended())
     }
 
-    /// The record for the given starts. `day_ms` is the time of day at our steady clock's zero.
-    pub fn record<'a>(
-        &self,
-        day_ms: u64,
-        starts: impl Iterator<Item = &'a (PieceId, Try)>,
-    ) -> IntentRecord {
-        let mut tasks: BTreeMap<JobId, Vec<(u32, Try)>> = BTreeMap::new();
-        for (piece, attempt) in starts {
-            tasks
-                .entry(piece.job.clone())
-                .or_default()
-                .push((piece.index, *attempt));
-        }
-        IntentRecord {
-            rig: self.rig.clone(),
-            site: self.site.clone(),
-            spot: self.spot,
-            rented_ms: day_ms.saturating_add_signed(self.since.0),
-            up: self.standing != Standing::Booting,
-            images: self.images.clone(),
-            tasks,
-        }
+    /// Whether nothing that we say seems to reach it.
+    pub fn deaf(&self) -> bool {
+        self.unheeded >= UNHEEDED
+    }
+
+    /// It has shown that it hears us.
+    pub fn heeds(&mut self) {
+        self.unheeded = 0;
+        self.deaf_since = None;
     }
 
     /// Takes it out of use.
@@ -344,14 +413,14 @@
     }
 
     /// Whether the image should be in the cache.
-    pub fn has_image(&self, image: &str) -> bool {
+    pub fn has_image(&self, image: &Image) -> bool {
         self.images.iter().any(|(i, _)| i == image)
     }
 
     /// Notes the use of an image; the least recently used make room.
-    pub fn use_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+    pub fn use_image(&mut self, image: &Image, gb: f64, cache_gb: f64) {
         self.images.retain(|(i, _)| i != image);
-        self.images.push((image.to_string(), gb));
+        self.images.push((image.clone(), gb));
         let mut held: f64 = self.images.iter().map(|(_, g)| g).sum();
         while held > cache_gb && self.images.len() > 1 {
             held -= self.images.remove(0).1;
--- a/src/bookkeeping/mod.rs
+++ b/src/bookkeeping/mod.rs
@@ -1,4 +1,5 @@
 //! What is known: durable records on the state service, and ledgers in memory.
 
 pub mod ledger;
+pub mod pages;
 pub mod records;
--- /dev/null
+++ b/src/bookkeeping/pages.rs
@@ -0,0 +1,302 @@
+//! Which page on the state service holds what. A page is rewritten as a whole: what in it is still
+//! true, and what is new. So reclaiming costs no change of its own, and there are never many more
+//! pages than what is true needs.
+
+use crate::ids::{HostId, JobId, Millis, PageNo, PieceId, Stamp, Try};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// One start, wherever it is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StartKey {
+    pub host: HostId,
+    pub piece: PieceId,
+    pub attempt: Try,
+}
+
+impl StartKey {
+    /// From a machine and a key of its ledger.
+    pub fn new(host: &HostId, key: &(PieceId, Try)) -> StartKey {
+        StartKey {
+            host: host.clone(),
+            piece: key.0.clone(),
+            attempt: key.1,
+        }
+    }
+}
+
+/// One page of intents, as far as it is written.
+#[derive(Debug, Default)]
+struct IntentsState {
+    stamp: Stamp,
+    /// What it holds that may still be true.
+    live: BTreeSet<StartKey>,
+    /// Since when it has held something that no longer is.
+    stale_since: Option<Millis>,
+}
+
+/// The pages of launch intents, and the starts that wait to be written.
+#[derive(Debug, Default)]
+pub struct IntentPages {
+    pages: BTreeMap<PageNo, IntentsState>,
+    waiting: VecDeque<StartKey>,
+}
+
+/// What a page takes beyond its starts.
+const PAGE_BYTES: usize = 32;
+
+/// The bytes of starts put together on a page, never less than they will be: quotes, colons,
+/// commas and brackets included.
+#[derive(Default)]
+pub struct Measure {
+    bytes: usize,
+    seen: BTreeSet<(Try, JobId, HostId)>,
+    tries: BTreeSet<Try>,
+    tried: BTreeSet<(Try, JobId)>,
+    jobs: BTreeSet<JobId>,
+}
+
+impl Measure {
+    /// The bytes so far.
+    pub fn bytes(&self) -> usize {
+        self.bytes + PAGE_BYTES
+    }
+    /// Takes a start in.
+    pub fn add(&mut self, key: &StartKey, team: &str) {
+        let job = &key.piece.job;
+        // A task's number and a comma; numbers have at most six digits.
+        self.bytes += 7;
+        if self.tries.insert(key.attempt) {
+            self.bytes += 26;
+        }
+        if self.tried.insert((key.attempt, job.clone())) {
+            self.bytes += job.as_str().len() + 6;
+        }
+        if self
+            .seen
+            .insert((key.attempt, job.clone(), key.host.clone()))
+        {
+            self.bytes += key.host.as_str().len() + 6;
+        }
+        if self.jobs.insert(job.clone()) {
+            // Three decimal numbers, written with at most 18 characters each.
+            self.bytes += job.as_str().len() + team.len() + 66;
+        }
+    }
+}
+
+impl IntentPages {
+    /// A start joins those that wait to be written.
+    pub fn wait(&mut self, key: StartKey) {
+        self.waiting.push_back(key);
+    }
+
+    /// Those that wait, the longest first.
+    pub fn waiting(&self) -> impl Iterator<Item = &StartKey> {
+        self.waiting.iter()
+    }
+
+    /// Drops from the front of those that wait whatever no longer does.
+    pub fn drop_settled(&mut self, still: impl Fn(&StartKey) -> bool) {
+        while self.waiting.front().is_some_and(|k| !still(k)) {
+            self.waiting.pop_front();
+        }
+    }
+
+    /// A page as a new leader found it.
+    pub fn found(&mut self, page: PageNo, stamp: Stamp) {
+        self.pages.entry(page).or_default().stamp = stamp;
+    }
+
+    /// A start that a page holds.
+    pub fn holds(&mut self, page: PageNo, key: StartKey) {
+        self.pages.entry(page).or_default().live.insert(key);
+    }
+
+    /// A page holds something that is no longer true.
+    pub fn outdated(&mut self, now: Millis, page: PageNo) {
+        if let Some(p) = self.pages.get_mut(&page) {
+            p.stale_since.get_or_insert(now);
+        }
+    }
+
+    /// A start is no longer true: its page may be written without it.
+    pub fn gone(&mut self, now: Millis, page: PageNo, key: &StartKey) {
+        if let Some(p) = self.pages.get_mut(&page) {
+            p.live.remove(key);
+            p.stale_since.get_or_insert(now);
+        }
+    }
+
+    /// The page to be written next: the emptiest that there is, if any; none of `taken`.
+    pub fn emptiest(&self, taken: &BTreeSet<PageNo>) -> Option<PageNo> {
+        let free = self.pages.iter().filter(|(n, _)| !taken.contains(n));
+        free.min_by_key(|(n, p)| (p.live.len(), **n))
+            .map(|(n, _)| *n)
+    }
+
+    /// The first page that does not exist; none of `taken`.
+    pub fn fresh(&self, taken: &BTreeSet<PageNo>) -> PageNo {
+        let mut n = 0;
+        while self.pages.contains_key(&PageNo(n)) || taken.contains(&PageNo(n)) {
+            n += 1;
+        }
+        PageNo(n)
+    }
+
+    /// What of a page is still true, and the page's version.
+    pub fn page(&self, page: PageNo) -> (Vec<StartKey>, Stamp) {
+        self.pages.get(&page).map_or((Vec::new(), Stamp(0)), |p| {
+            (p.live.iter().cloned().collect(), p.stamp)
+        })
+    }
+
+    /// Pages that have held what is no longer true for longer than the bound.
+    pub fn stale(&self, now: Millis, bound: Millis) -> impl Iterator<Item = PageNo> + '_ {
+        let ripe = move |p: &IntentsState| p.stale_since.is_some_and(|t| now - t > bound);
+        self.pages
+            .iter()
+            .filter(move |(_, p)| ripe(p))
+            .map(|(n, _)| *n)
+    }
+
+    /// A page is written with these starts; those of them that are gone since make it stale.
+    pub fn written(
+        &mut self,
+        now: Millis,
+        page: PageNo,
+        stamp: Stamp,
+        keys: Vec<StartKey>,
+        gone: bool,
+    ) {
+        let p = self.pages.entry(page).or_default();
+        p.stamp = stamp;
+        p.live = keys.into_iter().collect();
+        p.stale_since = gone.then_some(now);
+    }
+
+    /// A page is deleted.
+    pub fn deleted(&mut self, page: PageNo) {
+        self.pages.remove(&page);
+    }
+
+    /// A page was read again: what it holds beyond what is true is not known, so it is stale.
+    pub fn reread(&mut self, now: Millis, page: PageNo, stamp: Stamp) {
+        let p = self.pages.entry(page).or_default();
+        p.stamp = stamp;
+        if stamp != Stamp(0) {
+            p.stale_since.get_or_insert(now);
+        } else if p.live.is_empty() {
+            self.pages.remove(&page);
+        }
+    }
+
+    /// How many pages there are, and starts that wait.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.pages.len(), self.waiting.len())
+    }
+}
+
+/// One page of machines.
+#[derive(Debug, Default)]
+struct HostsState {
+    stamp: Stamp,
+    hosts: BTreeSet<HostId>,
+    /// A machine on it isn't written yet.
+    urgent: bool,
+    /// Since when it has been out of date.
+    stale_since: Option<Millis>,
+}
+
+/// The pages of machines.
+#[derive(Debug)]
+pub struct HostPages {
+    pages: BTreeMap<PageNo, HostsState>,
+    most: usize,
+}
+
+impl HostPages {
+    /// Pages of at most so many machines each.
+    pub fn new(most: usize) -> HostPages {
+        HostPages {
+            pages: BTreeMap::new(),
+            most: most.max(1),
+        }
+    }
+
+    /// A page as a new leader found it.
+    pub fn found(&mut self, page: PageNo, stamp: Stamp, hosts: BTreeSet<HostId>) {
+        let state = HostsState {
+            stamp,
+            hosts,
+            ..HostsState::default()
+        };
+        self.pages.insert(page, state);
+    }
+
+    /// Finds a page for a new machine.
+    pub fn enter(&mut self, host: &HostId) -> PageNo {
+        let most = self.most;
+        let room = self.pages.iter().find(|(_, p)| p.hosts.len() < most);
+        let page = room.map_or_else(
+            || {
+                let next = self.pages.keys().next_back().map_or(0, |n| n.0 + 1);
+                PageNo(next)
+            },
+            |(n, _)| *n,
+        );
+        let p = self.pages.entry(page).or_default();
+        p.hosts.insert(host.clone());
+        p.urgent = true;
+        page
+    }
+
+    /// A machine is gone.
+    pub fn leave(&mut self, now: Millis, page: PageNo, host: &HostId) {
+        if let Some(p) = self.pages.get_mut(&page) {
+            p.hosts.remove(host);
+            p.stale_since.get_or_insert(now);
+        }
+    }
+
+    /// What is known of a machine has changed.
+    pub fn changed(&mut self, now: Millis, page: PageNo) {
+        if let Some(p) = self.pages.get_mut(&page) {
+            p.stale_since.get_or_insert(now);
+        }
+    }
+
+    /// Pages to be written: those with new machines, and those out of date for longer than the
+    /// bound, if `lazy` ones are wanted.
+    pub fn due(&self, now: Millis, bound: Millis, lazy: bool) -> Vec<PageNo> {
+        let due = |p: &HostsState| {
+            p.urgent != lazy && (p.urgent || p.stale_since.is_some_and(|t| now - t > bound))
+        };
+        self.pages
+            .iter()
+            .filter(|(_, p)| due(p))
+            .map(|(n, _)| *n)
+            .collect()
+    }
+
+    /// The machines of a page and its version.
+    pub fn page(&self, page: PageNo) -> (BTreeSet<HostId>, Stamp) {
+        let p = self.pages.get(&page);
+        p.map_or_else(Default::default, |p| (p.hosts.clone(), p.stamp))
+    }
+
+    /// A page is written with these machines.
+    pub fn written(&mut self, now: Millis, page: PageNo, stamp: Stamp, hosts: &BTreeSet<HostId>) {
+        let p = self.pages.entry(page).or_default();
+        p.stamp = stamp;
+        p.urgent = !p.hosts.is_subset(hosts);
+        p.stale_since = (p.hosts != *hosts).then_some(now);
+    }
+
+    /// A page was read again.
+    pub fn reread(&mut self, now: Millis, page: PageNo, stamp: Stamp) {
+        let p = self.pages.entry(page).or_default();
+        p.stamp = stamp;
+        p.urgent = !p.hosts.is_empty();
+        p.stale_since.get_or_insert(now);
+    }
+}
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -8,10 +8,12 @@
 //! | `o/JOB` | an open job; never rewritten, so its stamp stands for "still open" | whoever accepts |
 //! | `f/JOB` | the finish mark, kept for ever | whoever cancels; the leader when done |
 //! | `p/JOB/N` | done tasks of one chunk, a bit each | the leader |
-//! | `m/HOST` | launch intents: every start that may be on the machine; and hints about it | the leader |
+//! | `i/N` | a page of launch intents: starts that may be on their machines | the leader |
+//! | `h/N` | a page of machines rented, with hints about them | the leader |
 //! | `hints` | arrivals and run times seen, so that a new leader need not learn them again | the leader |
 
-use crate::ids::{Baton, HostId, JobId, PieceId, Rig, Site, Try};
+use crate::bookkeeping::ledger::Amount;
+use crate::ids::{Baton, HostId, Image, JobId, PageNo, PieceId, Rig, Site, Try};
 use crate::protocol::users::{JobPhase, JobSpec};
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use base64::Engine;
@@ -32,8 +34,10 @@
 pub const FINAL: &str = "f/";
 /// Prefix of progress.
 pub const PROGRESS: &str = "p/";
-/// Prefix of launch intents.
-pub const INTENTS: &str = "m/";
+/// Prefix of pages of launch intents.
+pub const INTENTS: &str = "i/";
+/// Prefix of pages of machines.
+pub const HOSTS: &str = "h/";
 
 /// Tasks in one progress record. 683 characters of base64: within the smallest value limit.
 pub const CHUNK: u32 = 4096;
@@ -55,9 +59,17 @@
     let (job, chunk) = key.strip_prefix(PROGRESS)?.rsplit_once('/')?;
     Some((JobId::parse(job)?, chunk.parse().ok()?))
 }
-/// Key of a machine's intents.
-pub fn intents_key(id: &HostId) -> String {
-    format!("{INTENTS}{id}")
+/// Key of a page of launch intents.
+pub fn intents_key(page: PageNo) -> String {
+    format!("{INTENTS}{}", page.0)
+}
+/// Key of a page of machines.
+pub fn hosts_key(page: PageNo) -> String {
+    format!("{HOSTS}{}", page.0)
+}
+/// Reads the number of a page back from its key.
+pub fn parse_page(key: &str, prefix: &str) -> Option<PageNo> {
+    key.strip_prefix(prefix)?.parse().ok().map(PageNo)
 }
 
 /// Who leads.
@@ -78,48 +90,88 @@
     pub after: Vec<JobId>,
 }
 
-/// The finish mark. Keeps the job's description: tasks of a cancelled job still count for their
-/// team until they are gone, and a new leader must know what they use.
+/// The finish mark.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FinalRecord {
     pub phase: JobPhase,
     pub spec: JobSpec,
 }
 
-/// Every start that may be on one machine, and what is needed to reach it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct IntentRecord {
-    pub rig: Rig,
-    pub site: Site,
-    pub spot: bool,
-    /// Time of day of the rental, in milliseconds since 1970; 0 if not known. Never for safety.
-    #[serde(default)]
-    pub rented_ms: u64,
-    /// Whether its worker had reported when this was written.
-    #[serde(default)]
-    pub up: bool,
-    /// Images that should be in its cache, least recently used first: a hint for a new leader.
-    #[serde(default)]
-    pub images: Vec<(String, f64)>,
-    /// Job -> (task, try).
-    pub tasks: BTreeMap<JobId, Vec<(u32, Try)>>,
+/// What each task of a job takes, and whose it is: a page says it itself, for a new leader must
+/// know it also of jobs that are over but whose tasks may still be somewhere.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobTakes(pub String, pub f64, pub f64, pub f64);
+
+impl JobTakes {
+    /// From a job's description.
+    pub fn of(spec: &JobSpec) -> JobTakes {
+        JobTakes(spec.team.clone(), spec.cpus, spec.gpus, spec.ram_gb)
+    }
+    /// The amount.
+    pub fn amount(&self) -> Amount {
+        Amount {
+            cpus: self.1,
+            gpus: self.2,
+            ram_gb: self.3,
+        }
+    }
 }
 
-impl IntentRecord {
+/// A page of launch intents. Many starts of many machines share one value, so that a burst of
+/// starts costs few changes.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct IntentsPage {
+    /// Try -> job -> machine -> tasks.
+    pub starts: BTreeMap<Try, BTreeMap<JobId, BTreeMap<HostId, Vec<u32>>>>,
+    /// What the jobs named above take.
+    pub jobs: BTreeMap<JobId, JobTakes>,
+}
+
+impl IntentsPage {
+    /// Adds a start.
+    pub fn add(&mut self, host: &HostId, piece: &PieceId, attempt: Try) {
+        let tasks = self
+            .starts
+            .entry(attempt)
+            .or_default()
+            .entry(piece.job.clone())
+            .or_default()
+            .entry(host.clone())
+            .or_default();
+        tasks.push(piece.index);
+    }
     /// The starts, flat.
-    pub fn starts(&self) -> impl Iterator<Item = (PieceId, Try)> + '_ {
-        self.tasks.iter().flat_map(|(job, list)| {
-            list.iter().map(|(index, attempt)| {
-                let piece = PieceId {
-                    job: job.clone(),
-                    index: *index,
-                };
-                (piece, *attempt)
+    pub fn starts(&self) -> impl Iterator<Item = (HostId, PieceId, Try)> + '_ {
+        self.starts.iter().flat_map(|(attempt, jobs)| {
+            jobs.iter().flat_map(move |(job, hosts)| {
+                hosts.iter().flat_map(move |(host, tasks)| {
+                    tasks.iter().map(move |index| {
+                        let piece = PieceId {
+                            job: job.clone(),
+                            index: *index,
+                        };
+                        (host.clone(), piece, *attempt)
+                    })
+                })
             })
         })
     }
 }
 
+/// A machine on its page: the kind (by number), the time of day of the rental in seconds since 1970
+/// (0 if not known), whether its worker has reported, and images that should be in its cache (by
+/// number, least recently used first). Only the kind matters for safety.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HostNote(pub usize, pub u64, pub bool, pub Vec<usize>);
+
+/// A page of machines. Kinds and images are named once and then by number.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct HostsPage {
+    pub kinds: Vec<(Rig, Site, bool)>,
+    pub images: Vec<(Image, f64)>,
+    pub hosts: BTreeMap<HostId, HostNote>,
+}
+
 /// A set of task numbers, a bit each.
 #[derive(Clone, Debug, Default)]
 pub struct DoneSet {
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,12 +2,13 @@
 
 use super::placement::Unmet;
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::{Amount, Machine, Standing};
-use crate::ids::{HostId, Millis, Rig, Site, Stamp};
+use crate::bookkeeping::ledger::{Amount, Machine, Standing, Start};
+use crate::ids::{HostId, Image, JobId, Millis, Rig, Site};
 use crate::protocol::cloud::{CloudHost, CloudPhase};
 use crate::protocol::users::JobSpec;
 use crate::transport::budget::Budget;
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 /// What can be rented: type, zone and whether spot.
 pub type Kind = (Rig, Site, bool);
@@ -33,8 +34,9 @@
     return_after: Millis,
     /// Zones taken to be cut off, until then.
     suspected: BTreeMap<Site, Millis>,
-    /// When the forecast was last made.
+    /// When the forecast was last made, and when it was last looked what to return.
     looked: Millis,
+    swept: Millis,
     calls: Budget,
 }
 
@@ -48,6 +50,7 @@
             return_after: Millis(0),
             suspected: BTreeMap::new(),
             looked: Millis(i64::MIN / 4),
+            swept: Millis(i64::MIN / 4),
             calls: Budget::new(cloud_rps * 0.6, cloud_rps * 0.6),
         }
     }
@@ -72,10 +75,14 @@
 const DRAIN_PATIENCE: Millis = Millis(20_000);
 /// Estimates of what runs are doubted by this much, in favour of a machine whose boot time is known.
 const DOUBT: f64 = 1.25;
-/// The forecast is made at most this often: it costs more than a placement does.
+/// The forecast is made at most this often, and less often the more machines there are: it costs
+/// more than a placement does.
 const LOOK_EVERY: Millis = Millis(400);
-/// Tasks considered for renting in one pass.
-const MOST_CONSIDERED: u32 = 600;
+const LOOK_A_MACHINE: i64 = 1;
+/// What to return is looked for this often.
+const SWEEP_EVERY: Millis = Millis(500);
+/// Machines rented in one look: their boot is seen before more are asked for.
+const MOST_RENTED: usize = 400;
 
 /// A machine in the forecast: there, coming, or one that might be rented.
 struct Bin {
@@ -86,7 +93,7 @@
     /// Room that tasks give back, and when; soonest first.
     freed: Vec<(f64, Amount)>,
     /// Images that are there, or will be.
-    images: Vec<String>,
+    images: Vec<Image>,
     /// Stands by for this class only.
     class: Option<String>,
 }
@@ -120,6 +127,36 @@
     }
 }
 
+/// How long tasks of each job should run: looked up once a look.
+#[derive(Default)]
+struct Estimates(BTreeMap<JobId, f64>);
+
+impl Estimates {
+    fn of(&mut self, core: &Core, id: &JobId) -> f64 {
+        if let Some(s) = self.0.get(id) {
+            return *s;
+        }
+        let s = core.jobs.get(id).map_or(0.0, |j| core.estimate_s(&j.spec));
+        self.0.insert(id.clone(), s);
+        s
+    }
+}
+
+/// A time in a heap, soonest first.
+#[derive(PartialEq)]
+struct Soon(f64);
+impl Eq for Soon {}
+impl PartialOrd for Soon {
+    fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Soon {
+    fn cmp(&self, o: &Self) -> Ordering {
+        self.0.total_cmp(&o.0)
+    }
+}
+
 impl Core {
     fn boot_s(&self, rig: &Rig) -> f64 {
         self.rigs.get(rig).map_or(30.0, |r| r.boot_s)
@@ -128,20 +165,53 @@
     /// What it would take to have such a machine again: to boot it and fetch an image. Keeping it
     /// idle for as long costs at most twice what the best choice in hindsight would have.
     fn renewal_s(&self, m: &Machine) -> f64 {
-        let rate = self.rigs.get(&m.rig).map_or(0.0, |r| r.fetch_gb_per_s);
-        let fetch = m
-            .images
-            .iter()
-            .map(|(_, gb)| if rate > 0.0 { gb / rate } else { 0.0 })
-            .fold(0.0, f64::max);
-        self.boot_s(&m.rig) + fetch
+        let gb = m.images.iter().map(|(_, gb)| *gb).fold(0.0, f64::max);
+        self.boot_s(&m.rig) + self.fetch_s(&m.rig, gb)
+    }
+
+    /// Takes a machine into the ledger, unless it is there. `vouched` if more than a report speaks
+    /// for it.
+    #[allow(clippy::too_many_arguments)]
+    pub(crate) fn enter_machine(
+        &mut self,
+        now: Millis,
+        id: &HostId,
+        rig: &Rig,
+        site: &Site,
+        spot: bool,
+        since: Millis,
+        vouched: bool,
+    ) {
+        if !self.machines.contains_key(id) {
+            let whole = self.capacity(rig);
+            let mut m = Machine::new(id.clone(), rig.clone(), site.clone(), spot, whole, since);
+            m.answered = self.began;
+            m.vouched = false;
+            m.direct_after = now;
+            self.machines.insert(id.clone(), m);
+        }
+        if vouched {
+            self.vouch(id);
+        }
+    }
+
+    /// The machine exists: it is put on record, and may be given work.
+    pub(crate) fn vouch(&mut self, id: &HostId) {
+        if let Some(m) = self.machines.get_mut(id).filter(|m| !m.vouched) {
+            m.vouched = true;
+            m.page = Some(self.writer.hosts.enter(id));
+            self.dirty = true;
+        }
     }
 
     /// Returns what isn't needed or is given up, rents what is missing.
     pub(crate) fn size_fleet(&mut self, now: Millis, unmet: Vec<Unmet>) {
         self.repeat_hires(now);
         let wanted = self.rent(now, &unmet);
-        self.return_machines(now, wanted);
+        if now - self.fleet.swept >= SWEEP_EVERY {
+            self.fleet.swept = now;
+            self.return_machines(now, wanted);
+        }
     }
 
     fn repeat_hires(&mut self, now: Millis) {
@@ -173,9 +243,21 @@
         }
     }
 
+    /// Seconds until a start that doesn't run yet has its image.
+    fn rest_of_fetch(&self, now: Millis, m: &Machine, s: &Start) -> f64 {
+        let Some(spec) = self.jobs.get(&s.piece.job).map(|j| &j.spec) else {
+            return 0.0;
+        };
+        if m.has_image(&spec.image) {
+            return 0.0;
+        }
+        (self.fetch_s(&m.rig, spec.image_gb) - (now - s.since).secs()).max(0.0)
+    }
+
     /// The machines there are and that are coming, with the room they will have and when.
     fn forecast(&self, now: Millis) -> Vec<Bin> {
         let mut bins: Vec<Bin> = Vec::new();
+        let mut runs = Estimates::default();
         for m in self.machines.values() {
             let kind = (m.rig.clone(), m.site.clone(), m.spot);
             let bin = |from_s, room| Bin {
@@ -196,20 +278,18 @@
                     }
                 }
                 Standing::Up if self.usable(m, now) => {
-                    let mut b = bin(0.0, self.room_on(m));
+                    let mut b = bin(0.0, m.free);
                     b.class = self.reserved.get(&m.id).cloned();
                     b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
-                    for s in m.starts.values().filter(|s| !s.ended()) {
-                        if let Some(job) = self.jobs.get(&s.piece.job) {
-                            let run = self.estimate_s(&job.spec);
-                            let rest = match s.running_since {
-                                Some(t) => run - (now - t).secs(),
-                                None => run + self.wait_for_image(now, m, &job.spec),
-                            };
-                            // Past its estimate: it goes on for about as long again, in part.
-                            let rest = rest.max(run * 0.15).max(2.0) * DOUBT;
-                            b.freed.push((rest, Amount::of(&job.spec)));
-                        }
+                    for s in m.going() {
+                        let run = runs.of(self, &s.piece.job);
+                        let rest = match s.running_since {
+                            Some(t) => run - (now - t).secs(),
+                            None => run + self.rest_of_fetch(now, m, s),
+                        };
+                        // Past its estimate: it goes on for about as long again, in part.
+                        let rest = rest.max(run * 0.15).max(2.0) * DOUBT;
+                        b.freed.push((rest, s.need));
                     }
                     b.freed.sort_by(|a, b| a.0.total_cmp(&b.0));
                     bins.push(b);
@@ -242,117 +322,141 @@
         if unmet.is_empty() && self.standby_missing.is_empty() {
             return false;
         }
-        if now - self.fleet.looked < LOOK_EVERY {
+        let pause = LOOK_EVERY + Millis(LOOK_A_MACHINE * self.machines.len() as i64);
+        if now - self.fleet.looked < pause {
             return !unmet.is_empty();
         }
         self.fleet.looked = now;
+        let mut zones: BTreeMap<Site, usize> = BTreeMap::new();
+        for m in self.machines.values() {
+            *zones.entry(m.site.clone()).or_default() += 1;
+        }
         let mut bins = self.forecast(now);
         let coming = bins.len();
-        let mut used = self.usage();
-        let mut considered = 0;
+        let most = coming + MOST_RENTED;
+        let mut used = self.used.clone();
         for (spec, n) in &self.standby_missing {
-            for _ in 0..*n {
-                self.give(now, &mut bins, spec, 1, true);
-            }
+            self.give(now, &mut bins, &mut zones, spec, *n, true, most);
         }
+        let mut any = false;
         for u in unmet {
             let Some(job) = self.jobs.get(&u.job) else {
                 continue;
             };
-            let spec = &job.spec;
-            let mut left = u.count.min(self.headroom(spec, &used));
-            while left > 0 && considered < MOST_CONSIDERED {
-                considered += 1;
-                if !self.give(now, &mut bins, spec, left, false) {
-                    break;
-                }
-                used.entry(spec.team.clone())
-                    .or_default()
-                    .add(&Amount::of(spec));
-                left -= 1;
+            let left = u.count.min(self.headroom(&job.spec, job.team, &used));
+            if left == 0 || bins.len() >= most {
+                continue;
+            }
+            any = true;
+            let given = self.give(now, &mut bins, &mut zones, &job.spec, left, false, most);
+            if let Some(u) = job.team.and_then(|t| used.get_mut(t.0)) {
+                u.add(&Amount::of(&job.spec).times(f64::from(given)));
             }
         }
         let mut wanted: BTreeMap<Kind, u32> = BTreeMap::new();
         for b in bins.drain(coming..) {
             *wanted.entry(b.kind).or_default() += 1;
         }
-        for (kind, count) in wanted {
-            if !self.fleet.calls.take(now, 1.0) {
-                break;
+        for (kind, mut count) in wanted {
+            while count > 0 && self.fleet.calls.take(now, 1.0) {
+                let part = count.min(MOST_PER_HIRE);
+                self.hire(now, kind.clone(), part);
+                count -= part;
             }
-            self.hire(now, kind, count.min(MOST_PER_HIRE));
         }
-        considered > 0
+        any
     }
 
-    /// Gives one task to the machine of the forecast on which it starts first; a new one joins the
-    /// forecast if it would be sooner. False if there is none at all. `ready` asks for a machine
-    /// that is free or coming, not for one that will be free some time.
+    /// Gives `n` like tasks, one by one, to the machine of the forecast on which each starts first; a
+    /// new one joins the forecast if it would be sooner, as long as there are fewer than `most`. Says
+    /// how many were given. `ready` asks for a machine that is free or coming, not for one that will
+    /// be free some time.
+    #[allow(clippy::too_many_arguments)]
     fn give(
         &self,
         now: Millis,
         bins: &mut Vec<Bin>,
+        zones: &mut BTreeMap<Site, usize>,
         spec: &JobSpec,
-        left: u32,
+        n: u32,
         ready: bool,
-    ) -> bool {
+        most: usize,
+    ) -> u32 {
         let need = Amount::of(spec);
-        let fetch = |rig: &Rig| {
-            let rate = self.rigs.get(rig).map_or(0.0, |r| r.fetch_gb_per_s);
-            if rate > 0.0 {
-                spec.image_gb / rate
-            } else {
-                0.0
-            }
-        };
         let run = self.estimate_s(spec);
         let bulk = self.bulk(spec);
-        let best = bins
-            .iter()
-            .enumerate()
-            .filter(|(_, b)| Self::kind_allowed(spec, &b.kind))
-            .filter(|(_, b)| b.class.as_ref().is_none_or(|c| *c == spec.class))
-            .filter(|(_, b)| !ready || need.fits(&b.room))
+        let when = |b: &Bin| {
+            let cached = b.images.contains(&spec.image);
+            let wait = if cached {
+                0.0
+            } else {
+                self.fetch_s(&b.kind.0, spec.image_gb)
+            };
+            b.soonest(&need) + wait
+        };
+        let serves = |b: &Bin| {
             // Small tasks will fill the gaps of a machine shared by several: a large task can't
             // count on all of them ending.
-            .filter(|(_, b)| !bulk || b.freed.len() <= 1)
-            .map(|(i, b)| {
-                let cached = b.images.contains(&spec.image);
-                let wait = if cached { 0.0 } else { fetch(&b.kind.0) };
-                (b.soonest(&need) + wait, i)
+            Self::kind_allowed(spec, &b.kind)
+                && b.class.as_ref().is_none_or(|c| *c == spec.class)
+                && (!ready || need.fits(&b.room))
+                && (!bulk || b.freed.len() <= 1)
+        };
+        let mut soonest: BinaryHeap<Reverse<(Soon, usize)>> = bins
+            .iter()
+            .enumerate()
+            .filter(|(_, b)| serves(b))
+            .map(|(i, b)| Reverse((Soon(when(b)), i)))
+            .collect();
+        let choose = |left: u32, zones: &BTreeMap<Site, usize>| {
+            self.choose_kind(now, spec, left, zones).map(|kind| {
+                let boot = self.boot_s(&kind.0);
+                (boot + self.fetch_s(&kind.0, spec.image_gb), boot, kind)
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        let new = self.choose_kind(now, spec, left).map(|kind| {
-            let boot = self.boot_s(&kind.0);
-            (boot + fetch(&kind.0), boot, kind)
-        });
-        let (at, i) = match (best, new) {
-            (Some((t, i)), Some((sooner, ..))) if t <= sooner => (t, i),
-            (_, Some((t, boot, kind))) => {
-                bins.push(Bin {
-                    room: self.capacity(&kind.0),
-                    kind,
-                    from_s: boot,
-                    freed: Vec::new(),
-                    images: vec![spec.image.clone()],
-                    class: None,
-                });
-                (t, bins.len() - 1)
-            }
-            (Some((t, i)), None) if t.is_finite() => (t, i),
-            _ => return false,
         };
-        if !bins[i].images.contains(&spec.image) {
-            bins[i].images.push(spec.image.clone());
+        let mut given = 0;
+        let mut new = choose(n, zones);
+        while given < n {
+            if bins.len() >= most {
+                new = None;
+            }
+            let best = soonest.pop().map(|Reverse((Soon(t), i))| (t, i));
+            let (at, i) = match (best, &new) {
+                (Some((t, i)), Some((sooner, ..))) if t <= *sooner => (t, i),
+                (back, Some((t, boot, kind))) => {
+                    let (t, boot, kind) = (*t, *boot, kind.clone());
+                    soonest.extend(back.map(|(t, i)| Reverse((Soon(t), i))));
+                    *zones.entry(kind.1.clone()).or_default() += 1;
+                    new = choose(n - given, zones);
+                    bins.push(Bin {
+                        room: self.capacity(&kind.0),
+                        kind,
+                        from_s: boot,
+                        freed: Vec::new(),
+                        images: vec![spec.image.clone()],
+                        class: None,
+                    });
+                    (t, bins.len() - 1)
+                }
+                (Some((t, i)), None) if t.is_finite() => (t, i),
+                _ => break,
+            };
+            if !bins[i].images.contains(&spec.image) {
+                bins[i].images.push(spec.image.clone());
+            }
+            bins[i].take(at, &need, run);
+            if serves(&bins[i]) {
+                soonest.push(Reverse((Soon(when(&bins[i])), i)));
+            }
+            given += 1;
         }
-        bins[i].take(at, &need, run);
-        true
+        given
     }
 
     fn hire(&mut self, now: Millis, kind: Kind, count: u32) {
         // Unique for ever: batons are, and so is the count within one.
         self.fleet.hired += 1;
-        let name = format!("r-{}-{}", self.baton, self.fleet.hired);
+        let name = format!("r-{}-{}", self.lead.first, self.fleet.hired);
         tracing::debug!(hire = %name, rig = %kind.0, site = %kind.1, spot = kind.2, count, "renting");
         let (rig, site, spot) = kind.clone();
         self.fleet.hires.insert(
@@ -380,8 +484,14 @@
     }
 
     /// The cheapest kind for `left` tasks of the job, among those not refused lately; among equals
-    /// the zone where we have least.
-    fn choose_kind(&self, now: Millis, spec: &JobSpec, left: u32) -> Option<Kind> {
+    /// the zone with least machines.
+    fn choose_kind(
+        &self,
+        now: Millis,
+        spec: &JobSpec,
+        left: u32,
+        zones: &BTreeMap<Site, usize>,
+    ) -> Option<Kind> {
         let need = Amount::of(spec);
         let mut best: Option<((f64, usize), Kind)> = None;
         for rig in self.rigs.values() {
@@ -397,7 +507,7 @@
                         continue;
                     }
                     let price = if spot { rig.spot_price } else { rig.price };
-                    let here = self.machines.values().filter(|m| m.site == *site).count();
+                    let here = zones.get(site).copied().unwrap_or(0);
                     let rank = (price / f64::from(n), here);
                     if best.as_ref().is_none_or(|(b, _)| rank < *b) {
                         best = Some((rank, kind));
@@ -413,7 +523,7 @@
         let need = Amount::of(spec);
         let serves =
             |kind: &Kind| Self::kind_allowed(spec, kind) && need.fits(&self.capacity(&kind.0));
-        self.choose_kind(now, spec, 1).is_some()
+        self.choose_kind(now, spec, 1, &BTreeMap::new()).is_some()
             || self.fleet.hires.values().any(|h| serves(&h.kind))
             || self.machines.values().any(|m| {
                 m.standing == Standing::Booting && serves(&(m.rig.clone(), m.site.clone(), m.spot))
@@ -465,7 +575,7 @@
             if m.standing == Standing::Returning {
                 continue;
             }
-            let busy = m.wanted_intents().next().is_some();
+            let busy = m.live > 0;
             let age = now - m.since;
             let dead_boot = m.standing == Standing::Booting
                 && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
@@ -494,6 +604,7 @@
             if let Some(m) = self.machines.get_mut(h) {
                 tracing::debug!(host = %h, drain = m.drain, failed = m.list_failed, heard = ?m.heard, "returning");
                 m.standing = Standing::Returning;
+                self.indexes.spacious.remove(h);
                 // Not asked again while the answer is awaited.
                 m.direct_after = now + Millis(10_000);
             }
@@ -521,15 +632,9 @@
         }
         let (rig, site, spot) = h.kind;
         for id in hosts.into_iter().flatten() {
-            if self.gone.contains(&id) {
-                continue;
+            if !self.gone.contains(&id) {
+                self.enter_machine(now, &id, &rig, &site, spot, h.asked, true);
             }
-            let began = self.began;
-            self.machines.entry(id.clone()).or_insert_with(|| {
-                let mut m = Machine::new(id, rig.clone(), site.clone(), spot, h.asked);
-                m.answered = began;
-                m
-            });
         }
         self.dirty = true;
     }
@@ -549,14 +654,14 @@
             if self.gone.contains(&h.id) {
                 continue;
             }
-            let began = self.began;
-            let since = asked - Millis::from_secs(h.age_s);
-            let m = self.machines.entry(h.id.clone()).or_insert_with(|| {
+            if !self.machines.contains_key(&h.id) {
                 tracing::info!(host = %h.id, rig = %h.rig, "listed, but not known: taken on");
-                let mut m = Machine::new(h.id, h.rig, h.site, h.spot, since);
-                m.answered = began;
-                m
-            });
+            }
+            let since = asked - Millis::from_secs(h.age_s);
+            self.enter_machine(now, &h.id, &h.rig, &h.site, h.spot, since, true);
+            let Some(m) = self.machines.get_mut(&h.id) else {
+                continue;
+            };
             if m.endpoint.is_empty() {
                 m.endpoint = h.endpoint;
             }
@@ -585,10 +690,14 @@
             self.empty_machine(now, h);
             self.gone.insert(h.clone());
             if let Some(m) = self.machines.remove(h) {
-                if m.stamp != Stamp(0) {
-                    self.writer.sweep(h, m.stamp);
+                if m.direct_seq.is_some() {
+                    self.directs = self.directs.saturating_sub(1);
+                }
+                if let Some(page) = m.page {
+                    self.writer.hosts.leave(now, page, h);
                 }
             }
+            self.index_machine(h);
         }
         self.dirty = true;
     }
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -1,14 +1,28 @@
-//! Authority: until when a leader may act, on its own steady clock.
+//! Authority: until when a leader may act, on its own steady clock; and what it holds on the state
+//! service.
 
-use crate::ids::{Baton, Millis};
+use crate::ids::{Baton, Hold, Millis, Stamp};
 use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 
+/// What a leader holds on the state service.
+#[derive(Debug, Clone)]
+pub struct Lead {
+    /// The baton in force, and the one this leadership began with: a leader may raise its own.
+    pub baton: Baton,
+    pub first: Baton,
+    /// Versions of the leader key and of the counter of batons.
+    pub stamp: Stamp,
+    pub baton_stamp: Stamp,
+    /// The lease that the leader key is on, and the name it carries.
+    pub hold: Hold,
+    pub host_name: String,
+}
+
 /// A leader's right to act. It lasts until the moment the last successful touch of the lease was
 /// *sent*, plus the lease's life, less a margin: the state service can't have ended the lease
 /// before that, so nobody else can have taken over.
 #[derive(Debug)]
 pub struct Authority {
-    pub baton: Baton,
     life: Millis,
     margin: Millis,
     until: AtomicI64,
@@ -17,9 +31,8 @@
 
 impl Authority {
     /// Authority from a lease granted, or touched, by a request sent at `sent`.
-    pub fn new(baton: Baton, life: Millis, margin: Millis, sent: Millis) -> Authority {
+    pub fn new(life: Millis, margin: Millis, sent: Millis) -> Authority {
         let a = Authority {
-            baton,
             life,
             margin,
             until: AtomicI64::new(i64::MIN),
@@ -76,7 +89,7 @@
 
     #[test]
     fn authority_counts_from_sending_and_never_shrinks() {
-        let a = Authority::new(Baton(1), Millis(4000), Millis(300), Millis(1000));
+        let a = Authority::new(Millis(4000), Millis(300), Millis(1000));
         let end = 1000 + 4000 - 300 - 9;
         assert!(a.holds(Millis(end - 1)) && !a.holds(Millis(end)));
         a.renewed(Millis(3000));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -9,12 +9,14 @@
 pub mod preemption;
 pub mod recovery;
 pub mod standby;
+pub mod starts;
 pub mod worker_sessions;
 pub mod writer;
 
 use crate::bookkeeping::ledger::{Amount, Job, Machine, Standing};
 use crate::bookkeeping::records::OpenRecord;
-use crate::ids::{Baton, Epoch, HostId, JobId, Millis, Rig, Site, Stamp, Tenure, Try};
+use crate::coordination::leadership::Lead;
+use crate::ids::{Baton, Epoch, HostId, JobId, Millis, Rig, Site, Stamp, TeamNo, Tenure, Try};
 use crate::protocol::cloud::{CloudHost, RigInfo};
 use crate::protocol::state::{Item, Txn};
 use crate::protocol::users::JobSpec;
@@ -22,6 +24,7 @@
 use crate::settings::{Facts, Operator, Settings, Team};
 use fleet::Fleet;
 use graph::Graph;
+use starts::Indexes;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use writer::Writer;
@@ -41,9 +44,14 @@
             operator: s.operator.clone(),
         }
     }
+    /// A team's number.
+    pub fn team_no(&self, name: &str) -> Option<TeamNo> {
+        let at = self.facts.teams.iter().position(|t| t.name == name);
+        at.map(TeamNo)
+    }
     /// A team's guarantee and limit.
-    pub fn team(&self, name: &str) -> Option<&Team> {
-        self.facts.teams.iter().find(|t| t.name == name)
+    pub fn team(&self, no: Option<TeamNo>) -> Option<&Team> {
+        no.and_then(|n| self.facts.teams.get(n.0))
     }
     /// The time by which most tasks of a class should have started, if the settings name one.
     pub fn started_within(&self, class: &str) -> Option<f64> {
@@ -128,8 +136,9 @@
     Written { seq: u64, epoch: Epoch },
     /// A write was certainly not executed, nor will be.
     NotWritten { seq: u64 },
-    /// A write's guards failed, or its outcome is unclear: the keys must be read again.
-    WriteUnclear { seq: u64 },
+    /// A write's guards failed (these, if the service said which), or its outcome is unclear: the
+    /// keys must be read again.
+    WriteUnclear { seq: u64, failed: Vec<String> },
     /// The keys read again.
     Reread {
         seq: u64,
@@ -152,6 +161,7 @@
         host: HostId,
         endpoint: String,
         seq: u64,
+        baton: Baton,
         tenure: Tenure,
         orders: Vec<Order>,
     },
@@ -174,8 +184,7 @@
 /// The state of one leadership.
 pub struct Core {
     pub(crate) policy: Arc<Policy>,
-    pub(crate) baton: Baton,
-    pub(crate) lead_stamp: Stamp,
+    pub(crate) lead: Lead,
     /// The time of day at the steady clock's zero: for hints about ages in records.
     pub(crate) day_ms: u64,
     /// When this leadership began: no former leader has answered a worker since.
@@ -184,6 +193,9 @@
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) graph: Graph,
     pub(crate) machines: BTreeMap<HostId, Machine>,
+    /// What each team uses, and what is looked up often: kept in step by `starts.rs`.
+    pub(crate) used: Vec<Amount>,
+    pub(crate) indexes: Indexes,
     /// Names that the cloud confirmed gone: late reports of theirs mean nothing.
     pub(crate) gone: BTreeSet<HostId>,
     pub(crate) fleet: Fleet,
@@ -194,6 +206,16 @@
     /// Something changed that placement should look at.
     pub(crate) dirty: bool,
     pub(crate) last_recheck: Millis,
+    /// When placement last looked, and how far the spread-out review of machines has come.
+    pub(crate) last_pass: Millis,
+    pub(crate) last_preempt: Millis,
+    pub(crate) reviewed: u64,
+    /// Machines whose starts are to be looked at, gangs that may be broken, machines that may have
+    /// something to be told directly, and how many direct commands are awaited.
+    pub(crate) to_review: BTreeSet<HostId>,
+    pub(crate) gangs_due: BTreeSet<JobId>,
+    pub(crate) direct_due: BTreeSet<HostId>,
+    pub(crate) directs: usize,
     /// Observed against guessed run times, per class: an estimate for slack and for renting.
     pub(crate) observed: BTreeMap<String, placement::Observed>,
     /// Arrivals of classes that want to start soon, the machines that stand by for them, and how
@@ -209,7 +231,12 @@
 impl Core {
     /// The leader's token.
     pub fn baton(&self) -> Baton {
-        self.baton
+        self.lead.baton
+    }
+
+    /// The token that this leadership began with.
+    pub fn first_baton(&self) -> Baton {
+        self.lead.first
     }
 
     /// Machines whose workers should be reporting.
@@ -226,7 +253,7 @@
     /// A try never used before: batons are unique for ever, and so is the count within one.
     pub(crate) fn fresh_try(&mut self) -> Try {
         self.next_try += 1;
-        Try((self.baton.0 << 20) | (self.next_try & 0xf_ffff))
+        Try((self.lead.first.0 << 20) | (self.next_try & 0xf_ffff))
     }
 
     /// What one machine of the type offers.
@@ -254,6 +281,7 @@
             Event::DirectFailed { host, seq, sent } => self.direct_failed(now, &host, seq, sent),
             Event::Rigs(rigs) => {
                 self.rigs = rigs.into_iter().map(|r| (r.name.clone(), r)).collect();
+                self.recount_room();
                 self.dirty = true;
             }
             Event::Hosts { asked, hosts } => self.hosts_listed(now, asked, hosts),
@@ -263,7 +291,7 @@
             Event::ReturnFailed { hosts } => self.return_failed(now, &hosts),
             Event::Written { seq, epoch } => self.written(now, seq, epoch),
             Event::NotWritten { seq } => self.not_written(now, seq),
-            Event::WriteUnclear { seq } => self.write_unclear(now, seq),
+            Event::WriteUnclear { seq, failed } => self.write_unclear(now, seq, &failed),
             Event::Reread { seq, items } => self.reread(now, seq, items),
         }
     }
@@ -277,9 +305,10 @@
             self.forget_closed_jobs();
             self.dirty = true;
         }
-        if self.dirty {
+        self.stop_unwanted(now);
+        if self.dirty && now - self.last_pass >= PASS_EVERY {
+            self.last_pass = now;
             self.dirty = false;
-            self.stop_unwanted(now);
             self.choose_standby(now);
             let unmet = self.place(now);
             self.preempt(now, &unmet);
@@ -292,39 +321,18 @@
 
     /// Counts of open jobs, for display only.
     pub fn counts(&self) -> Vec<JobCounts> {
-        let mut running: BTreeMap<&JobId, u32> = BTreeMap::new();
-        for s in self.machines.values().flat_map(|m| m.starts.values()) {
-            if s.running_since.is_some() && !s.ended() {
-                *running.entry(&s.piece.job).or_default() += 1;
-            }
-        }
         self.jobs
             .iter()
             .filter(|(_, j)| !j.over)
-            .map(|(id, j)| {
-                (
-                    id.clone(),
-                    j.done.count(),
-                    running.get(id).copied().unwrap_or(0),
-                )
-            })
+            .map(|(id, j)| (id.clone(), j.done.count(), j.running))
             .filter(|(_, done, running)| *done + *running > 0)
             .collect()
     }
 
     /// Counts of one job, for display only.
     pub fn counts_of(&self, id: &JobId) -> (u32, u32) {
-        let Some(job) = self.jobs.get(id) else {
-            return (0, 0);
-        };
-        let hosts: BTreeSet<&HostId> = job.places.values().flatten().collect();
-        let running = hosts
-            .into_iter()
-            .filter_map(|h| self.machines.get(h))
-            .flat_map(|m| m.starts.values())
-            .filter(|s| s.piece.job == *id && s.running_since.is_some() && !s.ended())
-            .count();
-        (job.done.count(), running as u32)
+        let job = self.jobs.get(id);
+        job.map_or((0, 0), |j| (j.done.count(), j.running))
     }
 
     fn job_opened(&mut self, record: OpenRecord, stamp: Stamp, submitted: Millis) {
@@ -337,8 +345,10 @@
                 let due = self.deadline_of(&record, submitted);
                 self.graph.add(&id, &record.after, due);
                 self.note_arrival(&record.spec, submitted);
-                self.jobs
-                    .insert(id, Job::new(record.spec, stamp, submitted));
+                let team = self.team_of(&record.spec);
+                let job = Job::new(record.spec, team, stamp, submitted);
+                self.jobs.insert(id.clone(), job);
+                self.index_job(&id);
                 self.dirty = true;
             }
         }
@@ -372,7 +382,9 @@
         let hosts: BTreeSet<HostId> = job.places.values().flatten().cloned().collect();
         for h in hosts {
             self.drop_untouched(now, &h, id);
+            self.to_review.insert(h);
         }
+        self.index_job(id);
     }
 
     fn open_jobs(&mut self, now: Millis, jobs: Vec<(OpenRecord, Stamp, Millis)>) {
@@ -393,20 +405,20 @@
 
     /// Jobs that are over and have nothing left anywhere need not be remembered.
     fn forget_closed_jobs(&mut self) {
-        let held: BTreeSet<&JobId> = self
-            .machines
-            .values()
-            .flat_map(|m| m.starts.keys().map(|(p, _)| &p.job))
-            .collect();
         let idle: Vec<JobId> = self
-            .jobs
+            .indexes
+            .finished
             .iter()
-            .filter(|(id, j)| j.over && !held.contains(*id) && !self.writer.mentions(id))
-            .map(|(id, _)| id.clone())
+            .filter(|id| !self.writer.mentions(id))
+            .cloned()
             .collect();
         for id in idle {
             self.jobs.remove(&id);
+            self.index_job(&id);
             self.graph.forget(&id);
         }
     }
 }
+
+/// Placement looks at most this often: what happens in between is decided together.
+const PASS_EVERY: Millis = Millis(40);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,13 +5,15 @@
 //! team's guarantee comes first, then priority, then the least slack.
 
 use super::graph::Label;
+use super::worker_sessions::MAX_LISTED;
 use super::Core;
-use crate::bookkeeping::ledger::{within, Amount, Job, Machine, Standing, Start};
-use crate::ids::{HostId, JobId, Millis, PieceId, Site, Try};
+use crate::bookkeeping::ledger::{within, Amount, Job, Machine, Standing};
+use crate::bookkeeping::pages::StartKey;
+use crate::ids::{HostId, Image, JobId, Millis, PieceId, Rig, Site, TeamNo, Try};
 use crate::protocol::users::{JobSpec, Shape, Urgency};
 use serde::{Deserialize, Serialize};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 /// Run times seen against those guessed, for one class.
 #[derive(Debug, Default, Clone, Copy, Serialize, Deserialize)]
@@ -38,11 +40,95 @@
 /// Machines a job has failed on are avoided up to this many; past it, it is the job that is bad.
 const AVOID: usize = 3;
 
-/// The tasks and room that a pass works with.
+/// Tasks placed in one pass: what is left is placed in the next one, so that reports and the
+/// lease's renewal never wait for a whole wave.
+const MOST_PLACED: usize = 400;
+
+/// What a pass works with.
 struct Pass {
-    room: BTreeMap<HostId, Amount>,
+    attempt: Try,
     /// What teams use, and what is kept for jobs that their team's limit holds up.
-    used: BTreeMap<String, Amount>,
+    used: Vec<Amount>,
+    /// Machines kept for large tasks.
+    kept: BTreeSet<HostId>,
+    /// Jobs for which a machine was emptied.
+    favoured: BTreeSet<JobId>,
+    /// Needs for which there was no room: nothing as large or larger has to look again.
+    full: Vec<Need>,
+    placed: usize,
+}
+
+/// What a task asks of a machine, as far as the machine's kind and room go.
+#[derive(Clone)]
+struct Need {
+    amount: Amount,
+    class: String,
+    spot: bool,
+    site: Option<Site>,
+    rigs: Option<Vec<Rig>>,
+}
+
+impl Need {
+    fn of(spec: &JobSpec) -> Need {
+        Need {
+            amount: Amount::of(spec),
+            class: spec.class.clone(),
+            spot: spec.spot,
+            site: spec.site.clone(),
+            rigs: spec.rigs.clone(),
+        }
+    }
+    /// Whether a task with this need is at least as hard to place as `o`.
+    fn covers(&self, o: &Need) -> bool {
+        o.amount.fits(&self.amount)
+            && self.class == o.class
+            && (o.spot || !self.spot)
+            && (o.site.is_none() || o.site == self.site)
+            && (o.rigs.is_none() || o.rigs == self.rigs)
+    }
+}
+
+/// A machine that may take a task, as a pass sees it; the cheapest is the greatest.
+struct Candidate {
+    cost: f64,
+    fixed: f64,
+    room: Amount,
+    host: HostId,
+    site: Site,
+    whole: Amount,
+    listed: usize,
+}
+
+impl Candidate {
+    fn price(mut self) -> Candidate {
+        self.cost = self.fixed + emptiness(&self.room, &self.whole) * EMPTY_S;
+        self
+    }
+}
+
+impl PartialEq for Candidate {
+    fn eq(&self, o: &Self) -> bool {
+        self.cmp(o) == Ordering::Equal
+    }
+}
+impl Eq for Candidate {}
+impl PartialOrd for Candidate {
+    fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Candidate {
+    fn cmp(&self, o: &Self) -> Ordering {
+        o.cost
+            .total_cmp(&self.cost)
+            .then_with(|| o.host.cmp(&self.host))
+    }
+}
+
+/// The larger part of a machine that is free.
+fn emptiness(room: &Amount, whole: &Amount) -> f64 {
+    let part = |free: f64, all: f64| if all > 0.0 { free / all } else { 0.0 };
+    part(room.gpus, whole.gpus).max(part(room.cpus, whole.cpus))
 }
 
 impl Core {
@@ -79,63 +165,40 @@
         spec.guess_s * factor
     }
 
-    /// What each team uses: everything that may be on a machine, lingering starts included.
-    pub(crate) fn usage(&self) -> BTreeMap<String, Amount> {
-        let mut used: BTreeMap<String, Amount> = BTreeMap::new();
-        for s in self.machines.values().flat_map(|m| m.starts.values()) {
-            if s.ended() {
-                continue;
-            }
-            if let Some(job) = self.jobs.get(&s.piece.job) {
-                used.entry(job.spec.team.clone())
-                    .or_default()
-                    .add(&Amount::of(&job.spec));
-            }
-        }
-        used
-    }
-
     /// Whether a machine may be given new work at all.
     pub(crate) fn usable(&self, m: &Machine, now: Millis) -> bool {
         m.standing == Standing::Up
+            && m.vouched
+            && !m.deaf()
             && !m.drain
             && m.recall_at.is_none()
             && m.full_until <= now
             && !m.silent(now, self.policy.silence())
     }
 
-    /// What is free on a machine.
-    pub(crate) fn room_on(&self, m: &Machine) -> Amount {
-        let mut room = self.capacity(&m.rig);
-        for s in m.starts.values().filter(|s| !s.ended()) {
-            match self.jobs.get(&s.piece.job) {
-                Some(job) => room.sub(&Amount::of(&job.spec)),
-                // Something of which we know nothing may take everything.
-                None => return Amount::default(),
-            }
-        }
-        room
-    }
-
-    /// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
-    pub(crate) fn guaranteed(&self) -> BTreeSet<JobId> {
-        let mut order: Vec<(&JobId, &Job)> = self.jobs.iter().filter(|(_, j)| !j.over).collect();
-        order.sort_by_key(|(id, j)| (j.submitted, (*id).clone()));
-        let mut sums: BTreeMap<&str, Amount> = BTreeMap::new();
+    /// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones,
+    /// and teams whose unfinished work does not fit their limit all at once.
+    pub(crate) fn guaranteed(&self) -> (BTreeSet<JobId>, BTreeSet<TeamNo>) {
         let mut inside = BTreeSet::new();
-        for (id, j) in order {
-            let Some(team) = self.policy.team(&j.spec.team) else {
+        let mut tight = BTreeSet::new();
+        for (n, jobs) in self.indexes.by_team.iter().enumerate() {
+            let Some(team) = self.policy.team(Some(TeamNo(n))) else {
                 continue;
             };
-            let left = j.spec.pieces - j.done.count().min(j.spec.pieces);
-            let sum = sums.entry(j.spec.team.as_str()).or_default();
-            sum.add(&Amount::of(&j.spec).times(f64::from(left)));
             let any = team.cpus > 0.0 || team.gpus > 0.0;
-            if any && within(sum.cpus, team.cpus) && within(sum.gpus, team.gpus) {
-                inside.insert(id.clone());
+            let mut sum = Amount::default();
+            for (_, id) in jobs {
+                let Some(j) = self.jobs.get(id) else { continue };
+                sum.add(&j.left());
+                if any && within(sum.cpus, team.cpus) && within(sum.gpus, team.gpus) {
+                    inside.insert(id.clone());
+                }
+            }
+            if !within(sum.cpus, team.cpus_max) || !within(sum.gpus, team.gpus_max) {
+                tight.insert(TeamNo(n));
             }
         }
-        inside
+        (inside, tight)
     }
 
     /// The latest start that still meets an aim of the job, and which aim that is: the sooner ones
@@ -172,33 +235,19 @@
             > 0.5
     }
 
-    /// Teams whose unfinished work does not fit their limit all at once.
-    fn tight_teams(&self) -> BTreeSet<&str> {
-        let mut all: BTreeMap<&str, Amount> = BTreeMap::new();
-        for j in self.jobs.values().filter(|j| !j.over) {
-            let left = j.spec.pieces - j.done.count().min(j.spec.pieces);
-            all.entry(j.spec.team.as_str())
-                .or_default()
-                .add(&Amount::of(&j.spec).times(f64::from(left)));
-        }
-        all.retain(|name, sum| {
-            self.policy
-                .team(name)
-                .is_some_and(|t| !within(sum.cpus, t.cpus_max) || !within(sum.gpus, t.gpus_max))
-        });
-        all.into_keys().collect()
-    }
-
     fn queue(&self, now: Millis) -> Vec<JobId> {
-        let inside = self.guaranteed();
-        let tight = self.tight_teams();
+        if self.indexes.waiting.is_empty() {
+            return Vec::new();
+        }
+        let (inside, tight) = self.guaranteed();
         let mut queue: Vec<_> = self
-            .jobs
+            .indexes
+            .waiting
             .iter()
-            .filter(|(id, j)| !j.over && !j.pending.is_empty() && self.graph.released(id))
-            .filter(|(_, j)| j.not_before <= now)
+            .filter_map(|id| Some((id, self.jobs.get(id)?)))
+            .filter(|(id, j)| j.not_before <= now && self.graph.released(id))
             .map(|(id, j)| {
-                let tight = tight.contains(j.spec.team.as_str());
+                let tight = j.team.is_some_and(|t| tight.contains(&t));
                 let urgency = self.urgency_of(id, j, now, tight);
                 let rank = (
                     self.graph.depth(id),
@@ -210,40 +259,53 @@
                     urgency.1,
                     j.submitted,
                 );
-                (rank, id.clone())
+                (rank, id)
             })
             .collect();
         queue.sort();
-        queue.into_iter().map(|(_, id)| id).collect()
+        // A task group goes in one round: its members follow its first one at once.
+        let here: BTreeSet<&JobId> = queue.iter().map(|(_, id)| *id).collect();
+        let mut seen = BTreeSet::new();
+        let mut order = Vec::new();
+        for (_, id) in &queue {
+            for member in self.graph.group(id) {
+                if here.contains(&member) && seen.insert(member.clone()) {
+                    order.push(member);
+                }
+            }
+        }
+        order
     }
 
     /// One pass: places what fits and says what does not.
     pub(crate) fn place(&mut self, now: Millis) -> Vec<Unmet> {
+        if self.rigs.is_empty() {
+            return Vec::new();
+        }
         let queue = self.queue(now);
-        if queue.is_empty() || self.rigs.is_empty() {
+        if queue.is_empty() {
             return Vec::new();
         }
         let mut pass = Pass {
-            room: self
+            attempt: self.fresh_try(),
+            used: self.used.clone(),
+            kept: BTreeSet::new(),
+            favoured: self
                 .machines
                 .values()
-                .filter(|m| self.usable(m, now))
-                .map(|m| (m.id.clone(), self.room_on(m)))
+                .filter_map(|m| m.kept_for.as_ref())
+                .filter(|(_, until)| now < *until)
+                .map(|(job, _)| job.clone())
                 .collect(),
-            used: self.usage(),
+            full: Vec::new(),
+            placed: 0,
         };
-        // A task group goes in one round: its members follow its first one at once.
-        let mut seen = BTreeSet::new();
-        let mut order = Vec::new();
-        for id in &queue {
-            for member in self.graph.group(id) {
-                if queue.contains(&member) && seen.insert(member.clone()) {
-                    order.push(member);
-                }
-            }
-        }
         let mut unmet = Vec::new();
-        for id in order {
+        for id in queue {
+            if pass.placed >= MOST_PLACED {
+                self.dirty = true;
+                break;
+            }
             let left = self.place_job(now, &id, &mut pass);
             if left > 0 {
                 unmet.push(Unmet {
@@ -256,11 +318,11 @@
     }
 
     /// How many more tasks the team's limit lets start.
-    pub(crate) fn headroom(&self, spec: &JobSpec, used: &BTreeMap<String, Amount>) -> u32 {
-        let Some(team) = self.policy.team(&spec.team) else {
+    pub(crate) fn headroom(&self, spec: &JobSpec, team: Option<TeamNo>, used: &[Amount]) -> u32 {
+        let (Some(no), Some(team)) = (team, self.policy.team(team)) else {
             return 0;
         };
-        let used = used.get(&spec.team).copied().unwrap_or_default();
+        let used = used.get(no.0).copied().unwrap_or_default();
         let bound = |max: f64, used: f64| if max > 0.0 { max - used } else { f64::INFINITY };
         let room = Amount {
             cpus: bound(team.cpus_max, used.cpus),
@@ -276,48 +338,64 @@
             return 0;
         };
         let spec = job.spec.clone();
-        let head = self.headroom(&spec, &pass.used);
-        let pending: Vec<u32> = job.pending.iter().take(head as usize).copied().collect();
+        let team = job.team;
+        let head = self.headroom(&spec, team, &pass.used);
         // Once one task of a gang is done all are, and the rest only have to say so one by one.
         let gang = spec.shape == Shape::Gang && job.done.count() == 0;
         if gang && !job.places.is_empty() {
             // Nothing while a task of the last attempt lingers anywhere.
             return 0;
         }
-        let short = if gang {
-            pending.len() < spec.pieces as usize
-        } else {
-            pending.is_empty()
+        let could = head.min(job.pending.len() as u32);
+        let keep = |pass: &mut Pass, n: f64| {
+            if let Some(u) = team.and_then(|t| pass.used.get_mut(t.0)) {
+                u.add(&Amount::of(&spec).times(n));
+            }
         };
-        if short {
+        if could == 0 || (gang && could < spec.pieces) {
             // Guards against a large job that never finds its team's limit free, because smaller
             // jobs behind it take every bit that is given back: what it needs is kept for it.
             let n = if gang { f64::from(spec.pieces) } else { 1.0 };
-            pass.used
-                .entry(spec.team.clone())
-                .or_default()
-                .add(&Amount::of(&spec).times(n));
+            keep(pass, n);
             return 0;
         }
-        let zones = self.zone_choices(&spec, job, pass);
+        let need = Need::of(&spec);
+        if !pass.favoured.contains(id) && pass.full.iter().any(|f| need.covers(f)) {
+            if self.bulk(&spec) && !self.may_rent(now, &spec) {
+                self.keep_a_machine(now, &spec, pass);
+            }
+            return could;
+        }
+        let most = if gang {
+            could
+        } else {
+            could.min((MOST_PLACED - pass.placed) as u32)
+        };
+        let pending: Vec<u32> = job.pending.iter().take(most as usize).copied().collect();
+        let zones = self.zone_choices(now, &spec, job, pass);
         let mut plan: Vec<(u32, HostId)> = Vec::new();
         for zone in zones {
             plan = self.plan(now, id, &spec, &pending, zone.as_ref(), pass);
             if !plan.is_empty() && (!gang || plan.len() == pending.len()) {
                 break;
             }
-            self.unplan(&spec, &mut plan, pass);
+            plan.clear();
         }
-        let left = (pending.len() - plan.len()) as u32;
+        let left = could - plan.len() as u32;
         if plan.is_empty() {
+            // Whether there is room depends on the job itself only if it avoids machines, or must
+            // spread or stay together.
+            if job.failed_on.is_empty() && !spec.scatter && (!gang || spec.pieces == 1) {
+                pass.full.push(need);
+            }
             if self.bulk(&spec) && !self.may_rent(now, &spec) {
-                self.keep_a_machine(&spec, pass);
+                self.keep_a_machine(now, &spec, pass);
             }
             return left;
         }
-        let attempt = self.fresh_try();
+        pass.placed += plan.len();
+        let latency = self.graph.label(id) == Label::Latency;
         for (index, host) in plan {
-            let attempt = if gang { attempt } else { self.fresh_try() };
             let piece = PieceId {
                 job: id.clone(),
                 index,
@@ -328,19 +406,15 @@
                 if m.kept_for.as_ref().is_some_and(|(j, _)| j == id) {
                     m.kept_for = None;
                 }
-                m.starts.insert(
-                    (piece.clone(), attempt),
-                    Start::planned(piece, attempt, now),
-                );
             }
-            if let Some(job) = self.jobs.get_mut(id) {
-                job.pending.remove(&index);
-                job.places.entry(index).or_default().push(host);
-            }
-            pass.used
-                .entry(spec.team.clone())
-                .or_default()
-                .add(&Amount::of(&spec));
+            let mut start = self.new_start(&host, piece.clone(), pass.attempt, now);
+            start.latency = latency;
+            self.put_start(&host, start);
+            self.add_place(&host, &piece);
+            self.writer
+                .intents
+                .wait(StartKey::new(&host, &(piece, pass.attempt)));
+            keep(pass, 1.0);
         }
         left
     }
@@ -348,44 +422,52 @@
     /// Guards against a task of a whole machine that never finds one, because small tasks fill
     /// every gap and no more machines are to be had: the emptiest that it may use takes nothing
     /// more from jobs behind it.
-    fn keep_a_machine(&self, spec: &JobSpec, pass: &mut Pass) {
+    fn keep_a_machine(&self, now: Millis, spec: &JobSpec, pass: &mut Pass) {
         let need = Amount::of(spec);
         let best = self
-            .machines
-            .values()
-            .filter(|m| Self::allows(spec, m) && need.fits(&self.capacity(&m.rig)))
-            .filter(|m| pass.room.contains_key(&m.id))
-            .map(|m| (self.emptiness(m, pass), &m.id))
+            .indexes
+            .spacious
+            .iter()
+            .filter(|h| !pass.kept.contains(*h))
+            .filter_map(|h| self.machines.get(h))
+            .filter(|m| Self::allows(spec, m) && self.usable(m, now))
+            .map(|m| (m, self.capacity(&m.rig)))
+            .filter(|(_, whole)| need.fits(whole))
+            .map(|(m, whole)| (emptiness(&m.free, &whole), &m.id))
             .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
         if let Some((_, host)) = best {
-            pass.room.remove(host);
-        }
-    }
-
-    fn unplan(&self, spec: &JobSpec, plan: &mut Vec<(u32, HostId)>, pass: &mut Pass) {
-        for (_, host) in plan.drain(..) {
-            if let Some(room) = pass.room.get_mut(&host) {
-                room.add(&Amount::of(spec));
-            }
+            pass.kept.insert(host.clone());
         }
     }
 
     /// The zones to try in turn: None stands for all at once.
-    fn zone_choices(&self, spec: &JobSpec, job: &Job, pass: &Pass) -> Vec<Option<Site>> {
+    fn zone_choices(
+        &self,
+        now: Millis,
+        spec: &JobSpec,
+        job: &Job,
+        pass: &Pass,
+    ) -> Vec<Option<Site>> {
         if let Some(site) = &spec.site {
             return vec![Some(site.clone())];
         }
-        if !spec.together {
+        if !spec.together || spec.pieces == 1 {
             return vec![None];
         }
         if let Some(site) = self.zones_of(job).into_keys().next() {
             return vec![Some(site)];
         }
         let mut fit: BTreeMap<Site, u32> = BTreeMap::new();
-        for (host, room) in &pass.room {
-            if let Some(m) = self.machines.get(host) {
-                *fit.entry(m.site.clone()).or_default() +=
-                    Amount::of(spec).count_in(room, spec.pieces);
+        let need = Amount::of(spec);
+        for m in self
+            .indexes
+            .spacious
+            .iter()
+            .filter_map(|h| self.machines.get(h))
+        {
+            if self.usable(m, now) && Self::allows(spec, m) && !pass.kept.contains(&m.id) {
+                let n = need.count_in(&m.free, spec.pieces);
+                *fit.entry(m.site.clone()).or_default() += n;
             }
         }
         let mut sites: Vec<(u32, Site)> = fit.into_iter().map(|(s, n)| (n, s)).collect();
@@ -411,7 +493,7 @@
             && spec.rigs.as_ref().is_none_or(|r| r.contains(&m.rig))
     }
 
-    /// Chooses machines for as many of the tasks as fit, and takes their room.
+    /// Chooses machines for as many of the tasks as fit.
     fn plan(
         &self,
         now: Millis,
@@ -419,22 +501,29 @@
         spec: &JobSpec,
         pending: &[u32],
         zone: Option<&Site>,
-        pass: &mut Pass,
+        pass: &Pass,
     ) -> Vec<(u32, HostId)> {
         let Some(job) = self.jobs.get(id) else {
             return Vec::new();
         };
         let need = Amount::of(spec);
-        let label = self.graph.label(id);
+        let latency = self.graph.label(id) == Label::Latency;
         let avoid = job.failed_on.len() <= AVOID;
-        let mut zones = self.zones_of(job);
+        let mut zones = if spec.scatter {
+            self.zones_of(job)
+        } else {
+            BTreeMap::new()
+        };
         let most_in_zone = spec.pieces.div_ceil(2);
         // Machines that may take it, with what does not change as tasks are added.
-        let mut hosts: Vec<(&Machine, f64)> = self
-            .machines
-            .values()
-            .filter(|m| pass.room.contains_key(&m.id) && Self::allows(spec, m))
-            .filter(|m| zone.is_none_or(|z| *z == m.site))
+        let mut heap: BinaryHeap<Candidate> = self
+            .indexes
+            .spacious
+            .iter()
+            .filter_map(|h| self.machines.get(h))
+            .filter(|m| need.fits(&m.free) && m.starts.len() < MAX_LISTED)
+            .filter(|m| Self::allows(spec, m) && zone.is_none_or(|z| *z == m.site))
+            .filter(|m| self.usable(m, now) && !pass.kept.contains(&m.id))
             .filter(|m| !(avoid && job.failed_on.contains(&m.id)))
             .filter(|m| {
                 m.kept_for
@@ -443,71 +532,49 @@
             })
             .filter(|m| self.reserved.get(&m.id).is_none_or(|c| *c == spec.class))
             .map(|m| {
-                (
-                    m,
-                    self.wait_for_image(now, m, spec) + self.dislike(m, spec, label),
-                )
+                Candidate {
+                    cost: 0.0,
+                    fixed: self.wait_for_image(now, m, spec) + Self::dislike(m, spec, latency),
+                    room: m.free,
+                    host: m.id.clone(),
+                    site: m.site.clone(),
+                    whole: self.capacity(&m.rig),
+                    listed: m.starts.len(),
+                }
+                .price()
             })
             .collect();
-        let limit = self.max_starts();
         let mut plan: Vec<(u32, HostId)> = Vec::new();
-        let mut added: BTreeMap<HostId, usize> = BTreeMap::new();
         for index in pending {
-            hosts.retain(|(m, _)| {
-                let taken = m.starts.len() + added.get(&m.id).copied().unwrap_or(0);
-                pass.room.get(&m.id).is_some_and(|r| need.fits(r)) && taken < limit
-            });
-            let best = hosts
-                .iter()
-                .filter(|(m, _)| {
-                    !spec.scatter || zones.get(&m.site).copied().unwrap_or(0) < most_in_zone
-                })
-                .map(|(m, cost)| (cost + self.emptiness(m, pass) * EMPTY_S, *m))
-                .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.id.cmp(&b.1.id)));
-            let Some((_, m)) = best else { break };
-            if let Some(room) = pass.room.get_mut(&m.id) {
-                room.sub(&need);
+            let Some(mut best) = heap.pop() else { break };
+            while spec.scatter && zones.get(&best.site).copied().unwrap_or(0) >= most_in_zone {
+                // That zone is full, and stays so.
+                match heap.pop() {
+                    Some(next) => best = next,
+                    None => return plan,
+                }
+            }
+            plan.push((*index, best.host.clone()));
+            best.room.sub(&need);
+            best.listed += 1;
+            *zones.entry(best.site.clone()).or_default() += 1;
+            if need.fits(&best.room) && best.listed < MAX_LISTED {
+                heap.push(best.price());
             }
-            *added.entry(m.id.clone()).or_default() += 1;
-            *zones.entry(m.site.clone()).or_default() += 1;
-            plan.push((*index, m.id.clone()));
         }
         plan
     }
 
-    /// Starts that one machine's intent record has room for.
-    fn max_starts(&self) -> usize {
-        // A start takes its number, its try and punctuation; job ids at most 43 characters each.
-        ((self.policy.facts.state.value_kb * 1024.0 - 256.0) / 90.0).max(1.0) as usize
-    }
-
-    fn emptiness(&self, m: &Machine, pass: &Pass) -> f64 {
-        let whole = self.capacity(&m.rig);
-        let room = pass.room.get(&m.id).copied().unwrap_or_default();
-        let part = |free: f64, all: f64| if all > 0.0 { free / all } else { 0.0 };
-        part(room.gpus, whole.gpus).max(part(room.cpus, whole.cpus))
-    }
-
     /// Seconds until the image would be there: none if cached, the rest if being fetched.
     pub(crate) fn wait_for_image(&self, now: Millis, m: &Machine, spec: &JobSpec) -> f64 {
         if m.has_image(&spec.image) {
             return 0.0;
         }
-        let rate = self.rigs.get(&m.rig).map_or(0.0, |r| r.fetch_gb_per_s);
-        let whole = if rate > 0.0 {
-            spec.image_gb / rate
-        } else {
-            0.0
-        };
+        let whole = self.fetch_s(&m.rig, spec.image_gb);
+        let fetching = |image: &Option<Image>| image.as_ref() == Some(&spec.image);
         let under_way = m
-            .starts
-            .values()
-            .filter(|s| !s.ended() && s.running_since.is_none())
-            .filter(|s| {
-                self.jobs
-                    .get(&s.piece.job)
-                    .is_some_and(|j| j.spec.image == spec.image)
-            })
+            .going()
+            .filter(|s| s.running_since.is_none() && fetching(&s.image))
             .map(|s| s.since)
             .min();
         match under_way {
@@ -516,16 +583,22 @@
         }
     }
 
-    fn dislike(&self, m: &Machine, spec: &JobSpec, label: Label) -> f64 {
+    /// Seconds that a machine of the type takes to fetch so much.
+    pub(crate) fn fetch_s(&self, rig: &Rig, gb: f64) -> f64 {
+        let rate = self.rigs.get(rig).map_or(0.0, |r| r.fetch_gb_per_s);
+        if rate > 0.0 {
+            gb / rate
+        } else {
+            0.0
+        }
+    }
+
+    fn dislike(m: &Machine, spec: &JobSpec, latency: bool) -> f64 {
         let mut cost = 0.0;
         if spec.spot && !m.spot {
             cost += ORDINARY_S;
         }
-        let other = m
-            .starts
-            .values()
-            .any(|s| !s.ended() && self.graph.label(&s.piece.job) != label);
-        if other {
+        if m.going().any(|s| s.latency != latency) {
             cost += OTHER_LABEL_S;
         }
         cost
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -3,13 +3,17 @@
 
 use super::placement::Unmet;
 use super::Core;
-use crate::bookkeeping::ledger::{Amount, Machine, Start, StopWish};
+use crate::bookkeeping::ledger::{Amount, Job, Machine, Start, StopWish};
 use crate::ids::{HostId, JobId, Millis, PieceId, Try};
-use crate::protocol::users::JobSpec;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
-/// Machines emptied in one pass: the effect of the first is seen before the next.
+/// Machines emptied in one look, and one more for each so many that there are: the effect of the
+/// first is seen before the next.
 const MOST_AT_ONCE: usize = 2;
+const MORE_A_MACHINE: usize = 100;
+/// It is looked for ways to make room this often, for so many jobs at a time.
+const LOOK_EVERY: Millis = Millis(200);
+const MOST_JOBS: usize = 24;
 /// A machine emptied for a job is kept for it this long.
 const KEPT: Millis = Millis(20_000);
 /// Seconds that stopping a task costs beyond saving, if it has only just started: its start was in
@@ -27,41 +31,89 @@
 impl Core {
     /// Makes room for waiting jobs that would otherwise start too late.
     pub(crate) fn preempt(&mut self, now: Millis, unmet: &[Unmet]) {
-        let inside = self.guaranteed();
-        let used = self.usage();
+        if unmet.is_empty() || now - self.last_preempt < LOOK_EVERY {
+            return;
+        }
+        self.last_preempt = now;
+        let (inside, _) = self.guaranteed();
         let mut emptied = 0;
+        let most = MOST_AT_ONCE + self.machines.len() / MORE_A_MACHINE;
+        let mut looked = 0;
         for u in unmet {
-            if emptied >= MOST_AT_ONCE {
+            if emptied >= most || looked >= MOST_JOBS {
                 return;
             }
-            let kept = self
-                .machines
-                .values()
-                .filter(|m| {
-                    m.kept_for
-                        .as_ref()
-                        .is_some_and(|(j, t)| *j == u.job && now < *t)
-                })
-                .count();
-            if kept > 0 || !self.too_late_to_rent(now, &u.job) {
+            if !self.may_preempt(&u.job, &inside) || !self.too_late_to_rent(now, &u.job) {
                 continue;
             }
-            let way = self
-                .machines
-                .values()
-                .filter_map(|m| self.way(now, m, &u.job, &inside, &used))
-                .min_by(|a, b| {
-                    a.cost_s
-                        .total_cmp(&b.cost_s)
-                        .then_with(|| a.host.cmp(&b.host))
-                });
-            if let Some(way) = way {
+            looked += 1;
+            let Some(ways) = self.ways(now, &u.job, u.count, &inside) else {
+                continue;
+            };
+            for way in ways {
                 self.go(now, &u.job, way);
                 emptied += 1;
             }
         }
     }
 
+    /// The machines to be emptied for a job: one at a time, but for a gang as many as it needs at
+    /// once, for fewer would not help. None: enough are being emptied, or there are not enough.
+    fn ways(
+        &self,
+        now: Millis,
+        id: &JobId,
+        count: u32,
+        inside: &BTreeSet<JobId>,
+    ) -> Option<Vec<Way>> {
+        let job = self.jobs.get(id)?;
+        let need = Amount::of(&job.spec);
+        let kept = |m: &Machine| {
+            let kept = m.kept_for.as_ref().filter(|(_, t)| now < *t);
+            kept.map(|(j, _)| j == id)
+        };
+        // What is free already, or is being made free.
+        let there = self
+            .machines
+            .values()
+            .filter(|m| match kept(m) {
+                Some(mine) => mine,
+                None => need.fits(&m.free) && Self::allows(&job.spec, m) && self.usable(m, now),
+            })
+            .count() as u32;
+        let wanted = if job.stands_together() {
+            count.saturating_sub(there)
+        } else {
+            1u32.saturating_sub(there)
+        };
+        if wanted == 0 {
+            return None;
+        }
+        let mut ways: Vec<Way> = self
+            .machines
+            .values()
+            .filter_map(|m| self.way(now, m, id, inside))
+            .collect();
+        if (ways.len() as u32) < wanted {
+            return None;
+        }
+        ways.sort_by(|a, b| {
+            a.cost_s
+                .total_cmp(&b.cost_s)
+                .then_with(|| a.host.cmp(&b.host))
+        });
+        ways.truncate(wanted as usize);
+        Some(ways)
+    }
+
+    /// Whether anything may be stopped for the job at all.
+    fn may_preempt(&self, id: &JobId, inside: &BTreeSet<JobId>) -> bool {
+        let lowest = self.jobs.values().filter(|j| !j.over);
+        let lowest = lowest.map(|j| j.spec.urgency).min();
+        let above = self.jobs.get(id).map(|j| j.spec.urgency) > lowest;
+        above || inside.contains(id)
+    }
+
     /// Whether the job would miss the time by which it should start if it waited for a rental.
     fn too_late_to_rent(&self, now: Millis, id: &JobId) -> bool {
         let Some(job) = self.jobs.get(id) else {
@@ -83,15 +135,9 @@
         waited + rental > within || !self.may_rent(now, spec)
     }
 
-    fn way(
-        &self,
-        now: Millis,
-        m: &Machine,
-        id: &JobId,
-        inside: &BTreeSet<JobId>,
-        used: &BTreeMap<String, Amount>,
-    ) -> Option<Way> {
-        let spec = &self.jobs.get(id)?.spec;
+    fn way(&self, now: Millis, m: &Machine, id: &JobId, inside: &BTreeSet<JobId>) -> Option<Way> {
+        let job = self.jobs.get(id)?;
+        let spec = &job.spec;
         let need = Amount::of(spec);
         let free_to_use = self.usable(m, now)
             && Self::allows(spec, m)
@@ -106,9 +152,9 @@
             .values()
             .filter(|s| !s.ended())
             .filter_map(|s| {
-                let other = &self.jobs.get(&s.piece.job)?.spec;
-                let may =
-                    s.stop.is_none() && self.may_stop(spec, id, other, &s.piece.job, inside, used);
+                let other = self.jobs.get(&s.piece.job)?;
+                let may = s.stop.is_none() && self.may_stop(job, id, other, &s.piece.job, inside);
+                let other = &other.spec;
                 let save = other.checkpoint_s > 0.0;
                 let ran = s.running_since.map_or(0.0, |t| (now - t).secs());
                 let young = if now - s.since < YOUNG { YOUNG_S } else { 0.0 };
@@ -118,14 +164,14 @@
             })
             .collect();
         victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut room = self.room_on(m);
+        let mut room = m.free;
         let mut chosen = Vec::new();
         let mut cost_s = self.wait_for_image(now, m, spec);
         for (cost, s, grace) in victims {
             if need.fits(&room) {
                 break;
             }
-            room.add(&Amount::of(&self.jobs.get(&s.piece.job)?.spec));
+            room.add(&s.need);
             cost_s += cost;
             chosen.push((s.piece.clone(), s.attempt, grace));
         }
@@ -138,27 +184,26 @@
 
     fn may_stop(
         &self,
-        spec: &JobSpec,
+        job: &Job,
         id: &JobId,
-        other: &JobSpec,
+        other: &Job,
         other_id: &JobId,
         inside: &BTreeSet<JobId>,
-        used: &BTreeMap<String, Amount>,
     ) -> bool {
-        if other.urgency < spec.urgency {
+        if other.spec.urgency < job.spec.urgency {
             return true;
         }
         let borrowed = || {
-            let u = used.get(&other.team).copied().unwrap_or_default();
-            self.policy.team(&other.team).is_some_and(|t| {
+            let u = self.used_by(other.team);
+            self.policy.team(other.team).is_some_and(|t| {
                 (t.gpus > 0.0 && u.gpus > t.gpus) || (t.cpus > 0.0 && u.cpus > t.cpus)
             })
         };
         // Within a class the one would only be served at the other's cost: on a recorded day a gang
         // was stopped 16 s after its start for another of its own kind.
         inside.contains(id)
-            && other.class != spec.class
-            && other.team != spec.team
+            && other.spec.class != job.spec.class
+            && other.team != job.team
             && !inside.contains(other_id)
             && borrowed()
     }
@@ -177,5 +222,7 @@
                 });
             }
         }
+        self.to_review.insert(way.host.clone());
+        self.direct_due.insert(way.host);
     }
 }
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -4,13 +4,16 @@
 
 use super::fleet::Fleet;
 use super::graph::Graph;
+use super::leadership::Lead;
+use super::starts::Indexes;
 use super::writer::Writer;
 use super::{Core, Policy};
-use crate::bookkeeping::ledger::{Job, Machine, Standing, Start};
+use crate::bookkeeping::ledger::{Amount, Machine, Standing};
+use crate::bookkeeping::pages::StartKey;
 use crate::bookkeeping::records::{
-    parse_progress_key, FinalRecord, IntentRecord, OpenRecord, INTENTS,
+    parse_page, parse_progress_key, HostsPage, IntentsPage, OpenRecord, HOSTS, INTENTS,
 };
-use crate::ids::{Baton, HostId, JobId, Millis, Stamp};
+use crate::ids::{HostId, Millis, Stamp};
 use crate::protocol::cloud::RigInfo;
 use crate::protocol::state::Item;
 use std::collections::{BTreeMap, BTreeSet};
@@ -22,53 +25,68 @@
     pub open: Vec<(OpenRecord, Stamp, Millis)>,
     pub progress: Vec<Item>,
     pub intents: Vec<Item>,
-    /// Finish marks of jobs that intents name and that are no longer open.
-    pub closed: Vec<FinalRecord>,
+    pub hosts: Vec<Item>,
     pub rigs: Vec<RigInfo>,
     pub hints: Option<Item>,
     /// The time of day at the steady clock's zero, in milliseconds.
     pub day_ms: u64,
 }
 
-/// Jobs named by intents that aren't open: their finish marks must be read too.
-pub fn closed_jobs_named(open: &[(OpenRecord, Stamp, Millis)], intents: &[Item]) -> Vec<JobId> {
-    let open: BTreeSet<&JobId> = open.iter().map(|(r, _, _)| &r.spec.id).collect();
-    let named: BTreeSet<JobId> = intents
-        .iter()
-        .filter_map(|i| serde_json::from_value::<IntentRecord>(i.data.clone()).ok())
-        .flat_map(|r| r.tasks.into_keys())
-        .collect();
-    named.into_iter().filter(|j| !open.contains(j)).collect()
+/// Why a page can't be taken over.
+#[derive(Debug, thiserror::Error)]
+#[error("{key}: {why}")]
+pub struct Unreadable {
+    pub key: String,
+    pub why: String,
+}
+
+fn read<T: serde::de::DeserializeOwned>(item: &Item) -> Result<T, Unreadable> {
+    serde_json::from_value(item.data.clone()).map_err(|e| Unreadable {
+        key: item.key.clone(),
+        why: e.to_string(),
+    })
 }
 
 impl Core {
-    /// The core of a new leadership.
+    /// The core of a new leadership. An unreadable page stops it: whatever stands on it would be
+    /// taken for never launched.
     pub fn take_over(
         policy: Arc<Policy>,
-        baton: Baton,
-        lead_stamp: Stamp,
+        lead: Lead,
         now: Millis,
         found: Inheritance,
-    ) -> Core {
+    ) -> Result<Core, Unreadable> {
         let state = &policy.facts.state;
+        let teams = policy.facts.teams.len();
         let mut core = Core {
             fleet: Fleet::new(policy.facts.cloud.rps),
-            writer: Writer::new(state.write_rps),
+            writer: Writer::new(state, now),
             policy: policy.clone(),
-            baton,
-            lead_stamp,
+            lead,
             day_ms: found.day_ms,
             began: now,
             rigs: BTreeMap::new(),
             jobs: BTreeMap::new(),
             graph: Graph::default(),
             machines: BTreeMap::new(),
+            used: vec![Amount::default(); teams],
+            indexes: Indexes {
+                by_team: vec![BTreeSet::new(); teams],
+                ..Indexes::default()
+            },
             gone: BTreeSet::new(),
             effects: Vec::new(),
             next_seq: 0,
             next_try: 0,
             dirty: true,
             last_recheck: now,
+            last_pass: Millis(i64::MIN / 4),
+            last_preempt: Millis(i64::MIN / 4),
+            reviewed: 0,
+            to_review: BTreeSet::new(),
+            gangs_due: BTreeSet::new(),
+            direct_due: BTreeSet::new(),
+            directs: 0,
             observed: BTreeMap::new(),
             demand: BTreeMap::new(),
             reserved: BTreeMap::new(),
@@ -88,21 +106,22 @@
                 core.load_hints(now, hints);
             }
         }
-        for mark in found.closed {
-            // Over, but its tasks may still be somewhere and count for their team.
-            let id = mark.spec.id.clone();
-            let mut job = Job::new(mark.spec, Stamp(0), now);
-            job.over = true;
-            job.pending.clear();
-            core.jobs.insert(id, job);
-        }
         for item in found.progress {
             core.load_progress(item);
         }
-        for item in found.intents {
-            core.load_intents(now, item);
+        for item in &found.hosts {
+            core.load_hosts(now, item)?;
+        }
+        for item in &found.intents {
+            core.load_intents(now, item)?;
+        }
+        for id in core.machines.keys().cloned().collect::<Vec<_>>() {
+            core.index_machine(&id);
+            if let Some(m) = core.machines.get_mut(&id).filter(|m| m.live == 0) {
+                m.idle_since = Some(now);
+            }
         }
-        core
+        Ok(core)
     }
 
     fn load_progress(&mut self, item: Item) {
@@ -118,52 +137,86 @@
             job.done.load(chunk, text);
             let done = &job.done;
             job.pending.retain(|i| !done.has(*i));
+            self.index_job(&id);
         }
         self.writer.progress.insert((id, chunk), item.stamp);
     }
 
-    fn load_intents(&mut self, now: Millis, item: Item) {
-        let Some(host) = item.key.strip_prefix(INTENTS) else {
-            return;
+    fn load_hosts(&mut self, now: Millis, item: &Item) -> Result<(), Unreadable> {
+        let Some(page) = parse_page(&item.key, HOSTS) else {
+            return Ok(());
         };
-        let host = HostId::from(host);
-        let Ok(record) = serde_json::from_value::<IntentRecord>(item.data) else {
-            tracing::error!(key = %item.key, "an intent record can't be read");
-            return;
+        let record: HostsPage = read(item)?;
+        let hosts: BTreeSet<HostId> = record.hosts.keys().cloned().collect();
+        self.writer.hosts.found(page, item.stamp, hosts);
+        for (id, note) in record.hosts {
+            let Some((rig, site, spot)) = record.kinds.get(note.0).cloned() else {
+                return Err(Unreadable {
+                    key: item.key.clone(),
+                    why: format!("{id} is of no kind that the page names"),
+                });
+            };
+            let mut since = now;
+            if note.1 > 0 {
+                since = Millis(note.1 as i64 * 1000 - self.day_ms as i64).min(now);
+            }
+            let mut m = Machine::new(
+                id.clone(),
+                rig.clone(),
+                site,
+                spot,
+                self.capacity(&rig),
+                since,
+            );
+            m.answered = now;
+            m.direct_after = now;
+            m.full_until = now;
+            m.page = Some(page);
+            m.noted = true;
+            if note.2 {
+                m.standing = Standing::Up;
+            }
+            m.images = note
+                .3
+                .iter()
+                .filter_map(|i| record.images.get(*i).cloned())
+                .collect();
+            self.machines.insert(id, m);
+        }
+        Ok(())
+    }
+
+    fn load_intents(&mut self, now: Millis, item: &Item) -> Result<(), Unreadable> {
+        let Some(page) = parse_page(&item.key, INTENTS) else {
+            return Ok(());
         };
-        let mut m = Machine::new(
-            host.clone(),
-            record.rig.clone(),
-            record.site.clone(),
-            record.spot,
-            now,
-        );
-        if record.up || !record.tasks.is_empty() {
+        let record: IntentsPage = read(item)?;
+        self.writer.intents.found(page, item.stamp);
+        for (host, piece, attempt) in record.starts() {
+            let Some(m) = self.machines.get_mut(&host) else {
+                // Proof 4, on record: a start is written only once its machine's page is, and a
+                // machine leaves its page only once the cloud has confirmed that it is gone.
+                self.writer.intents.outdated(now, page);
+                continue;
+            };
+            // It had been given work: its worker has reported.
             m.standing = Standing::Up;
-        }
-        if record.rented_ms > 0 {
-            let since = Millis(record.rented_ms as i64 - self.day_ms as i64);
-            m.since = since.min(now);
-        }
-        m.images.clone_from(&record.images);
-        m.stamp = item.stamp;
-        for (piece, attempt) in record.starts() {
-            let mut s = Start::planned(piece.clone(), attempt, now);
-            s.durable = true;
-            s.inherited = true;
-            if let Some(job) = self.jobs.get_mut(&piece.job) {
-                let places = job.places.entry(piece.index).or_default();
-                if !places.contains(&host) {
-                    places.push(host.clone());
-                }
-                job.pending.remove(&piece.index);
+            let key = (piece.clone(), attempt);
+            let known = self.machines.get(&host);
+            if known.is_some_and(|m| m.starts.contains_key(&key)) {
+                continue;
             }
-            m.saved.insert((piece.clone(), attempt));
-            m.starts.insert((piece, attempt), s);
-        }
-        if m.starts.is_empty() {
-            m.idle_since = Some(now);
+            let mut s = self.new_start(&host, piece.clone(), attempt, now);
+            if let Some(takes) = record.jobs.get(&piece.job) {
+                s.need = takes.amount();
+                s.team = self.policy.team_no(&takes.0);
+            }
+            s.page = Some(page);
+            s.inherited = true;
+            self.put_start(&host, s);
+            self.add_place(&host, &piece);
+            self.writer.intents.holds(page, StartKey::new(&host, &key));
         }
-        self.machines.insert(host, m);
+        Ok(())
     }
 }
--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -82,7 +82,6 @@
 
     /// How many tasks of each class there should be room for at once, beyond what runs.
     pub(crate) fn standby_wanted(&self, now: Millis) -> Vec<(JobSpec, u32)> {
-        let used = self.usage();
         let mut wanted = Vec::new();
         for (class, d) in &self.demand {
             let Some(within) = self.policy.started_within(class) else {
@@ -104,7 +103,7 @@
                 continue;
             }
             let n = (expected + 0.5 * expected.sqrt()).ceil() as u32;
-            let n = n.min(self.headroom(&d.spec, &used));
+            let n = n.min(self.headroom(&d.spec, self.team_of(&d.spec), &self.used));
             if n > 0 {
                 wanted.push((d.spec.clone(), n));
             }
@@ -119,10 +118,12 @@
         for (spec, n) in self.standby_wanted(now) {
             let need = Amount::of(&spec);
             let mut fit: Vec<(bool, &HostId)> = self
-                .machines
-                .values()
-                .filter(|m| self.usable(m, now) && Self::allows(&spec, m))
-                .filter(|m| !reserved.contains_key(&m.id) && need.fits(&self.room_on(m)))
+                .indexes
+                .spacious
+                .iter()
+                .filter_map(|h| self.machines.get(h))
+                .filter(|m| need.fits(&m.free) && Self::allows(&spec, m) && self.usable(m, now))
+                .filter(|m| !reserved.contains_key(&m.id))
                 .map(|m| (!m.has_image(&spec.image), &m.id))
                 .collect();
             fit.sort();
--- /dev/null
+++ b/src/coordination/starts.rs
@@ -0,0 +1,311 @@
+//! The one place where starts are put on machines, change and leave: sums and indexes follow each
+//! change, so that no decision has to add everything up again. `audit` does add everything up, for
+//! tests.
+
+use super::Core;
+use crate::bookkeeping::ledger::{Amount, Machine, Seen, Standing, Start};
+use crate::bookkeeping::pages::StartKey;
+use crate::ids::{HostId, JobId, Millis, PieceId, TeamNo, Try};
+use crate::protocol::users::JobSpec;
+use std::collections::BTreeSet;
+
+/// What is looked up again and again, kept in step with the ledgers.
+#[derive(Debug, Default, PartialEq)]
+pub struct Indexes {
+    /// Open jobs with tasks that are nowhere.
+    pub waiting: BTreeSet<JobId>,
+    /// Open jobs by team, in order of acceptance: for guarantees.
+    pub by_team: Vec<BTreeSet<(Millis, JobId)>>,
+    /// Open jobs of which every task is done.
+    pub complete: BTreeSet<JobId>,
+    /// Open jobs with done tasks that aren't durable.
+    pub unsaved: BTreeSet<JobId>,
+    /// Jobs that are over and have nothing left anywhere.
+    pub finished: BTreeSet<JobId>,
+    /// Machines that report and are not full.
+    pub spacious: BTreeSet<HostId>,
+}
+
+impl Core {
+    /// What a team uses: everything that may be on a machine, lingering starts included.
+    pub(crate) fn used_by(&self, team: Option<TeamNo>) -> Amount {
+        team.and_then(|t| self.used.get(t.0))
+            .copied()
+            .unwrap_or_default()
+    }
+
+    fn charge(&mut self, team: Option<TeamNo>, need: &Amount, on: bool) {
+        if let Some(u) = team.and_then(|t| self.used.get_mut(t.0)) {
+            if on {
+                u.add(need);
+            } else {
+                u.sub(need);
+            }
+        }
+    }
+
+    fn charge_machine(m: &mut Machine, need: &Amount, on: bool) {
+        if on {
+            m.free.sub(need);
+            m.live += 1;
+        } else {
+            m.free.add(need);
+            m.live = m.live.saturating_sub(1);
+        }
+    }
+
+    /// Puts a start on a machine.
+    pub(crate) fn put_start(&mut self, host: &HostId, start: Start) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        let (need, team, on) = (start.need, start.team, !start.ended());
+        let (job, runs) = (start.piece.job.clone(), start.runs());
+        let key = (start.piece.clone(), start.attempt);
+        if on {
+            Self::charge_machine(m, &need, true);
+        }
+        let before = m.starts.insert(key, start);
+        debug_assert!(before.is_none(), "a start is put once");
+        if on {
+            self.charge(team, &need, true);
+        }
+        if let Some(j) = self.jobs.get_mut(&job) {
+            j.listed += 1;
+            j.running += u32::from(runs);
+        }
+        self.index_job(&job);
+        self.index_machine(host);
+    }
+
+    /// A report says how a start is.
+    pub(crate) fn see_start(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        key: &(PieceId, Try),
+        seen: Seen,
+    ) {
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        let Some(s) = m.starts.get_mut(key) else {
+            return;
+        };
+        let (was_on, ran) = (!s.ended(), s.runs());
+        s.seen = Some(seen);
+        if seen.phase == crate::protocol::workers::PiecePhase::Running && s.running_since.is_none()
+        {
+            s.running_since = Some(now);
+        }
+        let (on, runs) = (!s.ended(), s.runs());
+        let (need, team) = (s.need, s.team);
+        if was_on != on {
+            Self::charge_machine(m, &need, on);
+            self.charge(team, &need, on);
+            self.index_machine(host);
+        }
+        if ran != runs {
+            if let Some(j) = self.jobs.get_mut(&key.0.job) {
+                j.running = (j.running + u32::from(runs)).saturating_sub(u32::from(ran));
+            }
+        }
+    }
+
+    /// Takes a start off the ledger. Only `vanish` does this, for only proofs may.
+    pub(crate) fn take_start(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        key: &(PieceId, Try),
+    ) -> Option<Start> {
+        let m = self.machines.get_mut(host)?;
+        let s = m.starts.remove(key)?;
+        let (need, team, on) = (s.need, s.team, !s.ended());
+        if on {
+            Self::charge_machine(m, &need, false);
+            self.charge(team, &need, false);
+        }
+        if let Some(j) = self.jobs.get_mut(&key.0.job) {
+            j.listed = j.listed.saturating_sub(1);
+            j.running = j.running.saturating_sub(u32::from(s.runs()));
+        }
+        if let Some(page) = s.page {
+            let gone = StartKey::new(host, key);
+            self.writer.intents.gone(now, page, &gone);
+        }
+        self.index_job(&key.0.job);
+        self.index_machine(host);
+        Some(s)
+    }
+
+    /// Brings the indexes in step with a job.
+    pub(crate) fn index_job(&mut self, id: &JobId) {
+        fn keep(set: &mut BTreeSet<JobId>, id: &JobId, member: bool) {
+            if member {
+                if !set.contains(id) {
+                    set.insert(id.clone());
+                }
+            } else {
+                set.remove(id);
+            }
+        }
+        let x = &mut self.indexes;
+        let Some(j) = self.jobs.get(id) else {
+            for set in [
+                &mut x.waiting,
+                &mut x.complete,
+                &mut x.unsaved,
+                &mut x.finished,
+            ] {
+                set.remove(id);
+            }
+            return;
+        };
+        let open = !j.over;
+        keep(&mut x.waiting, id, open && !j.pending.is_empty());
+        keep(&mut x.complete, id, open && j.complete());
+        keep(&mut x.unsaved, id, open && !j.unsaved.is_empty());
+        keep(&mut x.finished, id, j.over && j.listed == 0);
+        if let Some(set) = j.team.and_then(|t| x.by_team.get_mut(t.0)) {
+            let place = (j.submitted, id.clone());
+            if open {
+                set.insert(place);
+            } else {
+                set.remove(&place);
+            }
+        }
+    }
+
+    /// Brings the indexes in step with a machine.
+    pub(crate) fn index_machine(&mut self, host: &HostId) {
+        let spacious = self.machines.get(host).is_some_and(|m| self.has_room(m));
+        if !spacious {
+            self.indexes.spacious.remove(host);
+        } else if !self.indexes.spacious.contains(host) {
+            self.indexes.spacious.insert(host.clone());
+        }
+    }
+
+    /// Whether a machine that reports has anything free of what its type is rented for.
+    fn has_room(&self, m: &Machine) -> bool {
+        let whole = self.capacity(&m.rig);
+        let some = |free: f64, whole: f64| whole <= 0.0 || free > 1e-6;
+        m.standing == Standing::Up && some(m.free.gpus, whole.gpus) && some(m.free.cpus, whole.cpus)
+    }
+
+    /// The machine types have changed: what is free follows.
+    pub(crate) fn recount_room(&mut self) {
+        let hosts: Vec<HostId> = self.machines.keys().cloned().collect();
+        for host in hosts {
+            let Some(m) = self.machines.get(&host) else {
+                continue;
+            };
+            let free = Self::room_left(m, self.capacity(&m.rig));
+            if let Some(m) = self.machines.get_mut(&host) {
+                m.free = free;
+            }
+            self.index_machine(&host);
+        }
+    }
+
+    fn room_left(m: &Machine, whole: Amount) -> Amount {
+        let mut free = whole;
+        for s in m.going() {
+            free.sub(&s.need);
+        }
+        free
+    }
+
+    /// Counts everything again and compares: what differs, if anything. For tests.
+    pub fn audit(&self) -> Result<(), String> {
+        let near = |a: &Amount, b: &Amount| {
+            (a.cpus - b.cpus).abs() + (a.gpus - b.gpus).abs() + (a.ram_gb - b.ram_gb).abs() < 1e-3
+        };
+        let mut used = vec![Amount::default(); self.used.len()];
+        let mut spacious = BTreeSet::new();
+        for m in self.machines.values() {
+            let free = Self::room_left(m, self.capacity(&m.rig));
+            if !near(&free, &m.free) || m.live as usize != m.going().count() {
+                return Err(format!("{}: free {:?}, counted {free:?}", m.id, m.free));
+            }
+            for s in m.going() {
+                if let Some(u) = s.team.and_then(|t| used.get_mut(t.0)) {
+                    u.add(&s.need);
+                }
+            }
+            if self.has_room(m) {
+                spacious.insert(m.id.clone());
+            }
+        }
+        for (a, b) in used.iter().zip(&self.used) {
+            if !near(a, b) {
+                return Err(format!("teams use {:?}, counted {used:?}", self.used));
+            }
+        }
+        if spacious != self.indexes.spacious {
+            return Err("machines with room are not those indexed".into());
+        }
+        let mut want = Indexes {
+            by_team: vec![BTreeSet::new(); self.indexes.by_team.len()],
+            spacious,
+            ..Indexes::default()
+        };
+        for (id, j) in &self.jobs {
+            let starts = || {
+                let of = |m: &'_ Machine| m.starts.values().filter(|s| s.piece.job == *id).count();
+                self.machines.values().map(of).sum::<usize>()
+            };
+            let runs = self
+                .machines
+                .values()
+                .flat_map(|m| m.starts.values())
+                .filter(|s| s.piece.job == *id && s.runs())
+                .count();
+            if j.listed as usize != starts() || j.running as usize != runs {
+                return Err(format!("{id}: {} starts, {} run", j.listed, j.running));
+            }
+            let open = !j.over;
+            for (set, member) in [
+                (&mut want.waiting, open && !j.pending.is_empty()),
+                (&mut want.complete, open && j.complete()),
+                (&mut want.unsaved, open && !j.unsaved.is_empty()),
+                (&mut want.finished, !open && j.listed == 0),
+            ] {
+                if member {
+                    set.insert(id.clone());
+                }
+            }
+            if let Some(set) = j
+                .team
+                .filter(|_| open)
+                .and_then(|t| want.by_team.get_mut(t.0))
+            {
+                set.insert((j.submitted, id.clone()));
+            }
+        }
+        if want != self.indexes {
+            return Err(format!("indexes {:?}, counted {want:?}", self.indexes));
+        }
+        Ok(())
+    }
+
+    /// A start as planned for a task of a job, here or by a former leader.
+    pub(crate) fn new_start(
+        &self,
+        host: &HostId,
+        piece: PieceId,
+        attempt: Try,
+        now: Millis,
+    ) -> Start {
+        // Something of which we know nothing may take everything.
+        let whole = self.machines.get(host).map(|m| self.capacity(&m.rig));
+        let job = self.jobs.get(&piece.job);
+        Start::planned(piece, attempt, job, whole.unwrap_or_default(), now)
+    }
+
+    /// The team of a job, by its number in the settings.
+    pub(crate) fn team_of(&self, spec: &JobSpec) -> Option<TeamNo> {
+        self.policy.team_no(&spec.team)
+    }
+}
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -4,10 +4,12 @@
 //! where that happens, and each caller names its proof.
 
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::{DirectCarrier, Machine, Seen, Standing, Start, StopWish};
+use crate::bookkeeping::ledger::{
+    DirectCarrier, Machine, Seen, Standing, Start, StopWish, UNHEEDED,
+};
 use crate::ids::{HostId, JobId, Millis, PieceId, Tenure, Try};
-use crate::protocol::users::Shape;
 use crate::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
+use std::collections::BTreeSet;
 
 /// How a report came.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -23,6 +25,12 @@
 const LOST_PATIENCE: Millis = Millis(45_000);
 /// Errors of one job on several machines make it wait, doubling, between these.
 const JOB_BACKOFF: (Millis, Millis) = (Millis(2000), Millis(60_000));
+/// Starts on one machine, tombstones included: keeps its reports well under 64 KiB.
+pub(crate) const MAX_LISTED: usize = 400;
+/// Machines reviewed each second beyond those that something happened to.
+const REVIEW_PARTS: u64 = 4;
+/// Direct commands that may be awaited at once.
+const MOST_DIRECT: usize = 96;
 
 /// The answer to a check-in.
 #[derive(Debug, PartialEq)]
@@ -37,7 +45,7 @@
     /// A worker's check-in. The caller has made sure of the leader's authority, and sends the
     /// orders only if it still holds then.
     pub fn check_in(&mut self, now: Millis, report: &Report) -> CheckInAnswer {
-        if report.baton > self.baton {
+        if report.baton > self.lead.baton {
             self.effects.push(Effect::StepDown {
                 why: "a worker has seen a higher baton",
             });
@@ -46,11 +54,27 @@
         if self.gone.contains(&report.host) {
             return CheckInAnswer::Refuse;
         }
+        // Guards against copies of old reports: each check-in has a larger tick than the one before,
+        // so one that has not is a copy. It renews no clock and is answered by nothing, for the
+        // worker does not wait for it.
+        let place = (report.tenure, report.tick);
+        let known = self.machines.get(&report.host);
+        if known.is_some_and(|m| place <= m.checked_in) {
+            tracing::debug!(host = %report.host, "a late copy of a report");
+            return CheckInAnswer::Refuse;
+        }
         let fresh = self.take_report(now, report, Way::CheckIn);
+        let baton = self.lead.baton;
         let Some(m) = self.machines.get_mut(&report.host) else {
             return CheckInAnswer::Refuse;
         };
+        m.checked_in = place;
+        if m.shunned {
+            // Its lease is to run out: that is the proof that frees its tasks.
+            return CheckInAnswer::Refuse;
+        }
         m.answered = now;
+        m.told = m.told.max(baton);
         if !fresh {
             return CheckInAnswer::Orders(Vec::new());
         }
@@ -64,7 +88,7 @@
         seq: u64,
         report: &Report,
     ) {
-        if report.baton > self.baton {
+        if report.baton > self.lead.baton {
             self.effects.push(Effect::StepDown {
                 why: "a worker has seen a higher baton",
             });
@@ -73,26 +97,32 @@
         if report.host != *host || self.gone.contains(host) {
             return;
         }
-        self.take_report(now, report, Way::Direct);
-        // Answered: executed, or certainly not. Either way it no longer is under way.
+        // Answered: executed, or certainly not. Either way it no longer is under way, and what the
+        // report lists is what came of it.
         self.settle_direct(host, seq, DirectCarrier::None);
-        self.dirty = true;
+        self.take_report(now, report, Way::Direct);
+        if let Some(m) = self.machines.get_mut(host) {
+            m.heeds();
+        }
     }
 
     pub(crate) fn direct_failed(&mut self, now: Millis, host: &HostId, seq: u64, sent: bool) {
+        let baton = self.lead.baton;
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
         m.direct_after = now + DIRECT_PAUSE;
         // Guards against a command that a cut or a hang held back: it may execute at any later
-        // time in this tenure, so the launch stays in flight until the tenure ends.
+        // time in this tenure, until the worker has seen a higher baton, so the launch stays in
+        // flight until then.
         let end = if sent {
-            DirectCarrier::Lost(m.tenure)
+            DirectCarrier::Lost(m.tenure, baton)
         } else {
             DirectCarrier::None
         };
         tracing::debug!(host = %host, sent, "direct command not answered");
         self.settle_direct(host, seq, end);
+        self.direct_due.insert(host.clone());
     }
 
     fn settle_direct(&mut self, host: &HostId, seq: u64, end: DirectCarrier) {
@@ -101,34 +131,57 @@
         };
         if m.direct_seq == Some(seq) {
             m.direct_seq = None;
+            self.directs = self.directs.saturating_sub(1);
         }
         for s in m.starts.values_mut() {
             if s.direct == DirectCarrier::InFlight(seq) {
                 s.direct = end;
             }
         }
+        self.direct_due.insert(host.clone());
     }
 
     /// Takes a report in; false if it was no news. The list of an old report proves nothing.
     fn take_report(&mut self, now: Millis, r: &Report, way: Way) -> bool {
-        let began = self.began;
-        let m = self.machines.entry(r.host.clone()).or_insert_with(|| {
+        let host = &r.host;
+        if !self.machines.contains_key(host) {
             tracing::info!(host = %r.host, rig = %r.rig, "a machine reports that was not known");
-            let mut m = Machine::new(r.host.clone(), r.rig.clone(), r.site.clone(), r.spot, now);
-            m.answered = began;
-            m
-        });
+            // Not vouched for: this may be a late copy of a report of a machine long returned. It is
+            // given work once it has shown our baton.
+            self.enter_machine(now, host, &r.rig, &r.site, r.spot, now, false);
+        }
+        let first = self.lead.first;
+        let Some(m) = self.machines.get_mut(host) else {
+            return false;
+        };
+        if (r.tenure, r.tick) <= (m.tenure, m.tick) {
+            return false;
+        }
         if m.standing == Standing::Booting {
             m.standing = Standing::Up;
             m.idle_since = Some(now);
             tracing::debug!(host = %m.id, boot_ms = (now - m.since).0, "machine is up");
             self.dirty = true;
+            let page = m.page;
+            self.index_machine(host);
+            if let Some(page) = page {
+                self.writer.hosts.changed(now, page);
+            }
         }
-        m.endpoint.clone_from(&r.endpoint);
-        if (r.tenure, r.tick) <= (m.tenure, m.tick) {
+        let Some(m) = self.machines.get_mut(host) else {
             return false;
+        };
+        if m.endpoint != r.endpoint {
+            m.endpoint.clone_from(&r.endpoint);
         }
         let ended_tenure = r.tenure > m.tenure;
+        if r.baton > m.shown && r.baton >= first {
+            m.heeds();
+        }
+        if ended_tenure && m.tenure > Tenure(0) && now - m.answered < self.policy.lease_over() {
+            // Its lease ran out although we answered: nothing that we say reaches it.
+            m.unheeded = UNHEEDED;
+        }
         m.tenure = r.tenure;
         m.tick = r.tick;
         m.heard = Some(now);
@@ -136,32 +189,41 @@
         if m.recall_at.is_none() && recall.is_some() {
             tracing::debug!(host = %m.id, "spot notice");
             self.dirty = true;
+            self.to_review.insert(host.clone());
         }
         m.recall_at = recall;
-        let confirmed = r.baton == self.baton;
-        m.confirmed |= confirmed;
-        let host = r.host.clone();
+        // A report with a baton of this leadership was written after it began.
+        let confirmed = r.baton >= first;
+        m.shown = m.shown.max(r.baton);
+        if confirmed && !m.confirmed {
+            m.confirmed = true;
+            m.heeds();
+            self.dirty = true;
+            self.index_machine(host);
+        }
         for p in &r.pieces {
-            self.see(now, &host, p, r.tenure);
+            self.see(now, host, p, r, confirmed);
         }
-        self.see_absent(now, &host, r, way, ended_tenure, confirmed);
+        self.see_absent(now, r, way, ended_tenure, confirmed);
         true
     }
 
     /// A start that a report lists.
-    fn see(&mut self, now: Millis, host: &HostId, p: &PieceReport, tenure: Tenure) {
+    fn see(&mut self, now: Millis, host: &HostId, p: &PieceReport, r: &Report, confirmed: bool) {
         let key = (p.piece.clone(), p.attempt);
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
-        let known = m.starts.contains_key(&key);
-        if !known {
-            // Listed but not in our ledger: a start whose intent was swept as a tombstone, or of a
-            // job long over. Adopted, so that it counts until it is gone.
-            let mut s = Start::planned(p.piece.clone(), p.attempt, now);
+        if !m.starts.contains_key(&key) {
+            if !confirmed {
+                // Every start that is on a machine has an intent. One without was proven gone: this
+                // is a report from before that, and a later one will tell.
+                return;
+            }
+            // Listed but not in our ledger: a tombstone, for its intent needn't be kept.
+            let mut s = self.new_start(host, p.piece.clone(), p.attempt, now);
             s.inherited = true;
-            s.durable = true;
-            m.starts.insert(key.clone(), s);
+            self.put_start(host, s);
             if p.phase != PiecePhase::Ended {
                 self.add_place(host, &p.piece);
             }
@@ -172,76 +234,88 @@
         let Some(s) = m.starts.get_mut(&key) else {
             return;
         };
-        // A launch by a carrier of an earlier tenure can't be what we see now.
-        if let DirectCarrier::Lost(t) = s.direct {
-            if t < tenure {
+        // A launch by a carrier of an earlier tenure, or with a baton that the worker has outgrown,
+        // can't be what we see now, nor come any more.
+        if let DirectCarrier::Lost(t, b) = s.direct {
+            if t < r.tenure || b < r.baton {
                 s.direct = DirectCarrier::None;
             }
         }
         let before = s.seen;
+        if before.is_none() && s.launched_in == Some(r.tenure) {
+            m.heeds();
+        }
         let since = match before {
             Some(b) if b.phase == p.phase => b.since,
             _ => now,
         };
-        s.seen = Some(Seen {
+        let seen = Seen {
             phase: p.phase,
             cause: p.cause,
             stored: p.stored,
             since,
-        });
-        if p.phase == PiecePhase::Running && s.running_since.is_none() {
-            s.running_since = Some(now);
+            at: (r.tenure, r.tick),
+        };
+        match before {
+            // No news: only noted, so that the start isn't taken for absent.
+            Some(b) if b.phase == p.phase && b.cause == p.cause && b.stored == p.stored => {
+                if let Some(s) = self.start_mut(host, &key) {
+                    s.seen = Some(seen);
+                }
+                return;
+            }
+            _ => self.see_start(now, host, &key, seen),
         }
-        let newly_running =
-            p.phase == PiecePhase::Running && before.is_none_or(|b| b.phase != PiecePhase::Running);
-        let newly_ended =
-            p.phase == PiecePhase::Ended && before.is_none_or(|b| b.phase != PiecePhase::Ended);
-        if newly_running {
-            self.note_image(host, &p.piece.job);
+        let was = before.map(|b| b.phase);
+        if p.phase == PiecePhase::Running && was != Some(PiecePhase::Running) {
+            self.note_image(now, host, &p.piece.job);
         }
-        if newly_ended {
+        if p.phase == PiecePhase::Ended && was != Some(PiecePhase::Ended) {
             self.ended(now, host, &key, p.cause.unwrap_or(Cause::Error));
         }
     }
 
-    fn note_image(&mut self, host: &HostId, job: &JobId) {
+    fn note_image(&mut self, now: Millis, host: &HostId, job: &JobId) {
         let (Some(m), Some(job)) = (self.machines.get_mut(host), self.jobs.get(job)) else {
             return;
         };
+        let new = !m.has_image(&job.spec.image);
         let cache = self.rigs.get(&m.rig).map_or(0.0, |r| r.cache_gb);
         m.use_image(&job.spec.image, job.spec.image_gb, cache);
+        if let Some(page) = m.page.filter(|_| new) {
+            self.writer.hosts.changed(now, page);
+        }
     }
 
     /// Starts that a report does not list: which of them are proven gone.
     fn see_absent(
         &mut self,
         now: Millis,
-        host: &HostId,
         r: &Report,
         way: Way,
         ended_tenure: bool,
         confirmed: bool,
     ) {
+        let host = &r.host;
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
-        let listed: std::collections::BTreeSet<(&PieceId, Try)> =
-            r.pieces.iter().map(|p| (&p.piece, p.attempt)).collect();
         let mut gone = Vec::new();
+        let mut unheeded = m.told > r.baton;
         for (key, s) in m.starts.iter_mut() {
-            if listed.contains(&(&key.0, key.1)) {
-                if way == Way::CheckIn {
-                    // Proof 1's settling: a later check-in of the same tenure means that the answer
-                    // which carried the launch was either executed or dropped.
-                    if s.checkin_carrier.is_some_and(|t| t < r.tick) || ended_tenure {
-                        s.checkin_carrier = None;
-                    }
-                }
-                continue;
+            let listed = s.seen.is_some_and(|x| x.at == (r.tenure, r.tick));
+            let settled = way == Way::CheckIn
+                && s.checkin_carrier
+                    .is_some_and(|t| t < r.tick || ended_tenure);
+            if settled {
+                // A later check-in of the same tenure means that the answer which carried the launch
+                // was either executed or dropped.
+                s.checkin_carrier = None;
             }
-            if s.untouched() {
+            if listed || s.untouched() {
                 continue;
             }
+            unheeded |= settled;
             if ended_tenure && !s.inherited {
                 // Proof 2: launched in an earlier tenure, whose tasks are all killed and forgotten
                 // and whose launches no longer match.
@@ -250,19 +324,30 @@
                 gone.push(key.clone());
                 continue;
             }
-            if way == Way::CheckIn && s.checkin_carrier.is_some_and(|t| t < r.tick) {
-                s.checkin_carrier = None;
-            }
             if !confirmed {
                 // Guards against an order of the former leader that may still be executed.
                 continue;
             }
+            if let DirectCarrier::Lost(_, b) = s.direct {
+                if b < r.baton {
+                    // The worker refuses that command from now on.
+                    s.direct = DirectCarrier::None;
+                }
+            }
             if s.inherited || !s.in_flight() {
                 // Proof 1. For an inherited start our baton in the report is enough: orders with
                 // the former one are no longer accepted by this worker.
                 gone.push(key.clone());
             }
         }
+        if way == Way::CheckIn && unheeded {
+            m.unheeded += 1;
+            if m.deaf() && m.deaf_since.is_none() {
+                tracing::info!(host = %host, "reports, but heeds nothing that we say");
+                m.deaf_since = Some(now);
+                self.direct_due.insert(host.clone());
+            }
+        }
         for key in gone {
             let relaunch = self.machines.get(host).is_some_and(|m| {
                 m.starts.get(&key).is_some_and(|s| {
@@ -274,6 +359,7 @@
                 if let Some(s) = self.start_mut(host, &key) {
                     s.launched_in = None;
                 }
+                self.direct_due.insert(host.clone());
                 continue;
             }
             self.vanish(now, host, &key);
@@ -284,23 +370,25 @@
         self.machines.get_mut(host)?.starts.get_mut(key)
     }
 
-    fn add_place(&mut self, host: &HostId, piece: &PieceId) {
+    pub(crate) fn add_place(&mut self, host: &HostId, piece: &PieceId) {
         if let Some(job) = self.jobs.get_mut(&piece.job) {
             let places = job.places.entry(piece.index).or_default();
             if !places.contains(host) {
                 places.push(host.clone());
             }
             job.pending.remove(&piece.index);
+            self.index_job(&piece.job);
         }
     }
 
     /// The piece no longer is on that machine (ended there, or proven gone).
     fn drop_place(&mut self, host: &HostId, piece: &PieceId) {
         // Another try of the same task may be on this machine.
-        let still = self
-            .machines
-            .get(host)
-            .is_some_and(|m| m.starts.values().any(|s| s.piece == *piece && !s.ended()));
+        let still = self.machines.get(host).is_some_and(|m| {
+            let tries = (piece.clone(), Try(0))..=(piece.clone(), Try(u64::MAX));
+            m.starts.range(tries).any(|(_, s)| !s.ended())
+        });
+        self.dirty = true;
         let Some(job) = self.jobs.get_mut(&piece.job) else {
             return;
         };
@@ -316,14 +404,17 @@
         if job.wants(piece.index) && !job.places.contains_key(&piece.index) {
             job.pending.insert(piece.index);
         }
-        self.dirty = true;
+        if job.stands_together() {
+            self.gangs_due.insert(piece.job.clone());
+        }
+        self.index_job(&piece.job);
     }
 
     /// A start ended on its machine. It stays there as a tombstone until cleared.
     fn ended(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try), cause: Cause) {
         let (piece, _) = key;
         tracing::debug!(piece = %piece, host = %host, cause = ?cause, "ended");
-        self.touch_intents(now, host);
+        self.note_idle(now, host);
         if cause == Cause::Done {
             self.note_run_time(now, host, key);
             if let Some(job) = self.jobs.get_mut(&piece.job) {
@@ -390,28 +481,23 @@
 
     /// A start is proven gone. Callers name the proof.
     pub(crate) fn vanish(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try)) {
-        let Some(m) = self.machines.get_mut(host) else {
-            return;
-        };
-        let Some(s) = m.starts.remove(key) else {
+        let Some(s) = self.take_start(now, host, key) else {
             return;
         };
-        self.touch_intents(now, host);
+        self.note_idle(now, host);
         if !s.ended() {
             tracing::debug!(piece = %key.0, host = %host, "proven gone");
             self.drop_place(host, &key.0);
         }
     }
 
-    /// The machine's record no longer says what is true: it is rewritten when there is time.
-    pub(crate) fn touch_intents(&mut self, now: Millis, host: &HostId) {
+    /// Notes since when a machine has had nothing to do.
+    fn note_idle(&mut self, now: Millis, host: &HostId) {
         if let Some(m) = self.machines.get_mut(host) {
-            m.stale_since.get_or_insert(now);
-            let idle = m.wanted_intents().next().is_none();
-            if !idle {
+            if m.live > 0 {
                 m.idle_since = None;
-            } else if m.idle_since.is_none() {
-                m.idle_since = Some(now);
+            } else {
+                m.idle_since.get_or_insert(now);
             }
         }
     }
@@ -444,7 +530,8 @@
         }
     }
 
-    /// Once a second: leases that are over, machines that are silent, starts that make no progress.
+    /// Once a second: leases that are over, machines that heed nothing, starts that make no
+    /// progress.
     pub(crate) fn recheck_machines(&mut self, now: Millis) {
         let lease_over = self.policy.lease_over();
         let over: Vec<HostId> = self
@@ -460,104 +547,127 @@
             tracing::info!(host = %host, "lease over: its tasks are gone");
             self.empty_machine(now, &host);
         }
-        let lost: Vec<HostId> = self
-            .machines
-            .values()
-            .filter(|m| !m.drain)
-            .filter(|m| {
-                m.starts.values().any(|s| {
-                    matches!(s.direct, DirectCarrier::Lost(_))
-                        && s.seen.is_none()
-                        && now - s.since > LOST_PATIENCE
-                })
-            })
-            .map(|m| m.id.clone())
-            .collect();
-        for host in lost {
-            tracing::info!(host = %host, "a launch stays unaccounted for: giving the machine up");
-            if let Some(m) = self.machines.get_mut(&host) {
+        let patience = self.policy.silence();
+        let mut given_up = Vec::new();
+        for m in self.machines.values_mut() {
+            let unaccounted = |s: &Start| {
+                matches!(s.direct, DirectCarrier::Lost(..))
+                    && s.seen.is_none()
+                    && now - s.since > LOST_PATIENCE
+            };
+            if !m.drain && m.starts.values().any(unaccounted) {
+                tracing::info!(host = %m.id, "a launch stays unaccounted for: giving the machine up");
+                m.start_drain(now);
+                given_up.push(m.id.clone());
+            }
+            // Guards against a machine whose reports reach us but which nothing reaches: each of
+            // its reports would renew the clock of its lease for us, though not for it, and a task
+            // that may be on it would be held for ever. So it is answered no more.
+            if !m.shunned && m.deaf() && m.deaf_since.is_some_and(|t| now - t > patience) {
+                tracing::info!(host = %m.id, "heeds nothing: answered no more, and given up");
+                m.shunned = true;
                 m.start_drain(now);
+                given_up.push(m.id.clone());
             }
         }
+        self.to_review.extend(given_up);
+        // A part of the rest each time, whatever may have been missed.
+        self.reviewed += 1;
+        let part = self.reviewed % REVIEW_PARTS;
+        let mine = self.machines.keys().enumerate();
+        let mine = mine.filter(|(n, _)| *n as u64 % REVIEW_PARTS == part);
+        let hosts: Vec<HostId> = mine.map(|(_, h)| h.clone()).collect();
+        self.to_review.extend(hosts);
     }
 
     /// Marks the starts that should end: of closed jobs, of done tasks, on machines to be emptied.
+    /// Only on machines to which something has happened, and on each from time to time.
     pub(crate) fn stop_unwanted(&mut self, now: Millis) {
-        let mut ended_here = Vec::new();
+        for host in std::mem::take(&mut self.to_review) {
+            self.review(now, &host);
+        }
+        self.stop_broken_gangs();
+    }
+
+    fn review(&mut self, now: Millis, host: &HostId) {
         let silence = self.policy.silence();
-        for m in self.machines.values_mut() {
-            let recall = m.recall_at;
-            let drain = m.drain;
-            let silent = m.silent(now, silence);
-            for (key, s) in m.starts.iter_mut() {
-                if s.ended() {
-                    continue;
-                }
-                let job = self.jobs.get(&key.0.job);
-                let wanted = job.is_some_and(|j| j.wants(key.0.index));
-                // A start stopped before it was launched would wait for ever: neither launched nor
-                // seen to end.
-                if s.untouched() && (silent || s.stop.is_some()) {
-                    ended_here.push((m.id.clone(), key.clone()));
-                    continue;
-                }
-                if wanted && recall.is_none() && !drain {
-                    continue;
-                }
-                if s.untouched() {
-                    ended_here.push((m.id.clone(), key.clone()));
-                    continue;
+        let Some(m) = self.machines.get_mut(host) else {
+            return;
+        };
+        let recall = m.recall_at;
+        let drain = m.drain;
+        let silent = m.silent(now, silence) || m.deaf();
+        let mut dropped = Vec::new();
+        let mut stopped = false;
+        for (key, s) in m.starts.iter_mut() {
+            if s.ended() {
+                continue;
+            }
+            let job = self.jobs.get(&key.0.job);
+            let wanted = job.is_some_and(|j| j.wants(key.0.index));
+            let leave = recall.is_some() || drain;
+            // A start stopped before it was launched would wait for ever: neither launched nor
+            // seen to end.
+            if s.untouched() && (silent || s.stop.is_some() || !wanted || leave) {
+                dropped.push(key.clone());
+                continue;
+            }
+            if wanted && !leave {
+                continue;
+            }
+            if let Some(w) = &mut s.stop {
+                // Saving for a user who has cancelled since is of no use to anybody.
+                if !wanted && w.grace_s > 0.0 {
+                    w.grace_s = 0.0;
+                    w.sent_direct = false;
+                    stopped = true;
                 }
-                if let Some(w) = &mut s.stop {
-                    // Saving for a user who has cancelled since is of no use to anybody.
-                    if !wanted && w.grace_s > 0.0 {
-                        w.grace_s = 0.0;
-                        w.sent_direct = false;
+                continue;
+            }
+            let grace_s = match job {
+                Some(j) if wanted && j.spec.checkpoint_s > 0.0 => {
+                    let left = recall.map_or(f64::INFINITY, |t| (t - now).secs());
+                    if left > j.spec.save_s {
+                        j.spec.save_s + 2.0
+                    } else {
+                        0.0
                     }
-                    continue;
                 }
-                let grace_s = match job {
-                    Some(j) if wanted && j.spec.checkpoint_s > 0.0 => {
-                        let left = recall.map_or(f64::INFINITY, |t| (t - now).secs());
-                        if left > j.spec.save_s {
-                            j.spec.save_s + 2.0
-                        } else {
-                            0.0
-                        }
-                    }
-                    _ => 0.0,
-                };
-                s.stop = Some(StopWish {
-                    grace_s,
-                    sent_direct: false,
-                });
+                _ => 0.0,
+            };
+            s.stop = Some(StopWish {
+                grace_s,
+                sent_direct: false,
+            });
+            stopped = true;
+            if job.is_some_and(|j| j.stands_together()) {
+                self.gangs_due.insert(key.0.job.clone());
             }
         }
-        for (host, key) in ended_here {
+        if stopped {
+            self.direct_due.insert(host.clone());
+        }
+        for key in dropped {
             // Proof: never launched.
-            self.vanish(now, &host, &key);
+            self.vanish(now, host, &key);
         }
-        self.stop_broken_gangs();
     }
 
     /// A gang of which a member is stopped or lost stops as a whole: its members would only wait
     /// for each other, and an orderly stop must reach all of them within `gang_peer_s`.
     fn stop_broken_gangs(&mut self) {
-        for (id, job) in &self.jobs {
-            let gang = job.spec.shape == Shape::Gang && job.spec.pieces > 1;
-            if !gang || job.over || job.done.count() > 0 || job.places.is_empty() {
+        for id in std::mem::take(&mut self.gangs_due) {
+            let Some(job) = self.jobs.get(&id) else {
                 continue;
-            }
-            let hosts: Vec<HostId> = job.places.values().flatten().cloned().collect();
-            let members = |m: &Machine| {
-                m.starts
-                    .values()
-                    .filter(|s| s.piece.job == *id && !s.ended())
-                    .any(|s| s.stop.is_some())
             };
+            if job.over || !job.stands_together() || job.places.is_empty() {
+                continue;
+            }
+            let hosts: BTreeSet<HostId> = job.places.values().flatten().cloned().collect();
+            let stops = |m: &Machine| m.going().any(|s| s.piece.job == id && s.stop.is_some());
             let stopping = hosts
                 .iter()
-                .any(|h| self.machines.get(h).is_some_and(members));
+                .any(|h| self.machines.get(h).is_some_and(stops));
             if !stopping && job.pending.is_empty() {
                 continue;
             }
@@ -571,21 +681,27 @@
                     continue;
                 };
                 for s in m.starts.values_mut() {
-                    if s.piece.job == *id && !s.ended() && s.stop.is_none() {
+                    if s.piece.job == id && !s.ended() && s.stop.is_none() {
                         s.stop = Some(StopWish {
                             grace_s,
                             sent_direct: false,
                         });
                     }
                 }
+                self.to_review.insert(host.clone());
+                self.direct_due.insert(host);
             }
         }
     }
 
     /// Whether an ended start may be cleared: its outcome is durable (or of no interest), and no
-    /// launch of the same try can still arrive and start it afresh.
+    /// launch of the same try can arrive any more and start it afresh.
+    ///
+    /// Guards against a copy of a direct command that is executed again: once cleared, the worker
+    /// would not know the try any more. The command that clears carries a higher baton than any that
+    /// launched, and a worker refuses lower ones from then on.
     fn may_clear(&self, s: &Start) -> bool {
-        if !s.ended() || s.in_flight() {
+        if !s.ended() || s.in_flight() || s.launched_with.is_some_and(|b| b >= self.lead.baton) {
             return false;
         }
         let done = s.seen.is_some_and(|x| x.cause == Some(Cause::Done));
@@ -613,7 +729,7 @@
     }
 
     fn wants_launch(&self, m: &Machine, s: &Start) -> bool {
-        s.durable
+        s.page.is_some()
             && s.stop.is_none()
             && s.seen.is_none()
             && !s.inherited
@@ -633,12 +749,10 @@
         };
         let mut orders = Vec::new();
         let mut launched = Vec::new();
-        let mut room = MAX_ORDERS;
         for (key, s) in &m.starts {
-            if room == 0 {
+            if orders.len() >= MAX_ORDERS {
                 break;
             }
-            let before = orders.len();
             if s.ended() {
                 if self.may_clear(s) {
                     orders.push(Order::Clear {
@@ -655,7 +769,6 @@
                 });
                 launched.push(key.clone());
             }
-            room -= orders.len() - before;
         }
         let (tenure, tick) = (m.tenure, m.tick);
         for key in launched {
@@ -668,18 +781,25 @@
     }
 
     /// Launches and stops that needn't wait for the next check-in go straight to the worker: one
-    /// command at a time on each machine.
+    /// command at a time on each machine, and a bounded number of them at once.
     pub(crate) fn push_direct(&mut self, now: Millis) {
-        let hosts: Vec<HostId> = self
-            .machines
-            .values()
-            .filter(|m| m.standing == Standing::Up && m.direct_seq.is_none())
-            .filter(|m| m.direct_after <= now && !m.endpoint.is_empty() && m.tenure > Tenure(0))
-            .map(|m| m.id.clone())
-            .collect();
-        for host in hosts {
+        let mut later = BTreeSet::new();
+        while let Some(host) = self.direct_due.pop_first() {
+            let Some(m) = self.machines.get(&host) else {
+                continue;
+            };
+            // An answer that is awaited brings it back here; so does the worker's first report.
+            let never = m.direct_seq.is_some() || m.endpoint.is_empty() || m.tenure == Tenure(0);
+            if never || m.standing != Standing::Up {
+                continue;
+            }
+            if m.direct_after > now || self.directs >= MOST_DIRECT {
+                later.insert(host);
+                continue;
+            }
             self.push_direct_to(now, &host);
         }
+        self.direct_due = later;
     }
 
     fn push_direct_to(&mut self, now: Millis, host: &HostId) {
@@ -707,19 +827,21 @@
                 carried.push(key.clone());
             }
         }
-        // An inherited machine is resolved at once by any command that carries our baton.
-        let resolve = !m.confirmed && m.starts.values().any(|s| s.inherited);
-        if orders.is_empty() && !resolve {
+        // Whether a machine that heeds nothing hears us after all is seen by asking it.
+        if orders.is_empty() && !m.deaf() {
             return;
         }
         let (endpoint, tenure) = (m.endpoint.clone(), m.tenure);
         let seq = self.seq();
+        let baton = self.lead.baton;
+        self.directs += 1;
         if let Some(m) = self.machines.get_mut(host) {
             m.direct_seq = Some(seq);
             for key in carried {
                 if let Some(s) = m.starts.get_mut(&key) {
                     s.direct = DirectCarrier::InFlight(seq);
                     s.launched_in = Some(tenure);
+                    s.launched_with = Some(baton);
                 }
             }
             for key in stops {
@@ -732,6 +854,7 @@
             host: host.clone(),
             endpoint,
             seq,
+            baton,
             tenure,
             orders,
         });
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -5,26 +5,33 @@
 //! written.
 
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::Standing;
+use crate::bookkeeping::ledger::{DirectCarrier, Job, Machine, Standing, Start};
+use crate::bookkeeping::pages::{HostPages, IntentPages, Measure, StartKey};
 use crate::bookkeeping::records::{
-    final_key, intents_key, open_key, progress_key, FinalRecord, CHUNK, HINTS, LEAD,
+    final_key, hosts_key, intents_key, open_key, parse_page, parse_progress_key, progress_key,
+    FinalRecord, HostNote, HostsPage, IntentsPage, JobTakes, LeadRecord, BATON, CHUNK, HINTS,
+    HOSTS, INTENTS, LEAD, OPEN,
 };
-use crate::ids::{Epoch, HostId, JobId, Millis, PieceId, Stamp, Try};
+use crate::ids::{Baton, Epoch, HostId, Image, JobId, Millis, PageNo, Rig, Site, Stamp};
 use crate::protocol::state::{Change, Guard, Item, Txn};
 use crate::protocol::users::JobPhase;
+use crate::settings::StateLimits;
 use crate::transport::budget::Budget;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One thing that a transaction does.
 #[derive(Debug, Clone)]
 enum Work {
-    /// A machine's intents become these.
-    Intents {
-        host: HostId,
-        starts: BTreeSet<(PieceId, Try)>,
+    /// A page of intents holds these, and nothing else.
+    Intents { page: PageNo, keys: Vec<StartKey> },
+    /// A page of intents goes: nothing on it is true any more.
+    DropIntents { page: PageNo },
+    /// A page of machines lists these.
+    Hosts {
+        page: PageNo,
+        hosts: BTreeSet<HostId>,
     },
-    /// A machine's record goes: the machine is gone.
-    DropIntents { host: HostId },
     /// Done tasks of one chunk.
     Progress {
         job: JobId,
@@ -37,6 +44,8 @@
     DropProgress { key: String },
     /// What was seen of classes.
     Hints,
+    /// Our own baton is raised.
+    Raise { baton: Baton },
 }
 
 #[derive(Debug)]
@@ -61,51 +70,70 @@
     flight: Flight,
     budget: Budget,
     not_before: Millis,
-    /// Versions of progress records.
+    /// When the last transaction was begun.
+    last: Millis,
+    /// Where starts and machines are recorded.
+    pub(crate) intents: IntentPages,
+    pub(crate) hosts: HostPages,
+    /// Versions of progress records, and when progress was last written.
     pub(crate) progress: BTreeMap<(JobId, u32), Stamp>,
-    /// Records of machines that are gone.
-    swept: BTreeMap<HostId, Stamp>,
+    progress_at: Millis,
     /// Progress records of jobs that are over.
     pub(crate) litter: BTreeMap<String, Stamp>,
     /// The version of the hints, when they were last written, and whether there is news.
     pub(crate) hints: Stamp,
     hints_at: Millis,
     pub(crate) hints_news: bool,
+    /// When our baton was last raised.
+    raised_at: Millis,
 }
 
 /// Hints are written at most this often.
 const HINTS_EVERY: Millis = Millis(10_000);
-
+/// Transactions are begun at most this often: what is ready meanwhile goes together.
+const WRITE_EVERY: Millis = Millis(100);
+/// Progress is written this often: until then a tombstone keeps it, or else the task's result.
+const PROGRESS_EVERY: Millis = Millis(2_000);
 /// A stale record waits this long for a write that is needed anyway.
 const STALE: Millis = Millis(4_000);
+/// Hints about machines wait longer.
+const STALE_HOSTS: Millis = Millis(15_000);
+/// Our baton is raised this often while tombstones wait for it, and at once when one machine has so
+/// many.
+const RAISE_EVERY: Millis = Millis(60_000);
+const RAISE_SOON: Millis = Millis(5_000);
+const RAISE_AT: usize = 150;
 /// The pause after a write that the service refused.
 const REFUSED: Millis = Millis(300);
 /// An answer this late is taken for none, should the duty have lost it.
 const LOST: Millis = Millis(8_000);
+/// Bytes that a machine takes on its page, beyond its name, with the images named.
+const HOST_BYTES: usize = 50;
+const HOST_IMAGES: usize = 5;
 
 impl Writer {
     /// A writer that keeps within its part of the write rate.
-    pub fn new(write_rps: f64) -> Writer {
+    pub fn new(state: &StateLimits, now: Millis) -> Writer {
         // The rest is left to submissions, cancellations and the lease.
-        let mine = write_rps * 0.7;
+        let mine = state.write_rps * 0.7;
+        let most = (value_bytes(state).saturating_sub(1000)) / (HOST_BYTES + 16);
         Writer {
             flight: Flight::None,
             budget: Budget::new(mine, mine),
             not_before: Millis(0),
+            last: Millis(i64::MIN / 4),
+            intents: IntentPages::default(),
+            hosts: HostPages::new(most),
             progress: BTreeMap::new(),
-            swept: BTreeMap::new(),
+            progress_at: Millis(0),
             litter: BTreeMap::new(),
             hints: Stamp(0),
             hints_at: Millis(0),
             hints_news: false,
+            raised_at: now,
         }
     }
 
-    /// The record of a machine that is gone is to be deleted.
-    pub(crate) fn sweep(&mut self, host: &HostId, stamp: Stamp) {
-        self.swept.insert(host.clone(), stamp);
-    }
-
     /// Whether a write about the job is under way.
     pub(crate) fn mentions(&self, id: &JobId) -> bool {
         match &self.flight {
@@ -118,6 +146,11 @@
     }
 }
 
+/// The bytes that one value may take, with a little room.
+fn value_bytes(state: &StateLimits) -> usize {
+    (state.value_kb * 1024.0 * 0.95) as usize
+}
+
 /// A transaction being put together within the service's limits.
 struct Draft {
     guards: BTreeMap<String, Stamp>,
@@ -128,6 +161,25 @@
 }
 
 impl Draft {
+    /// Whether so many more guards still fit.
+    fn guards_fit(&self, more: usize) -> bool {
+        self.guards.len() + more <= self.most_ops * 4
+    }
+
+    /// The starts and the pages of intents that are drafted already.
+    fn launches(&self) -> impl Iterator<Item = &StartKey> {
+        self.works.iter().flat_map(|w| match w {
+            Work::Intents { keys, .. } => keys.as_slice(),
+            _ => &[],
+        })
+    }
+    fn intent_pages(&self) -> impl Iterator<Item = PageNo> + '_ {
+        self.works.iter().filter_map(|w| match w {
+            Work::Intents { page, .. } | Work::DropIntents { page } => Some(*page),
+            _ => None,
+        })
+    }
+
     /// Adds work if it still fits; false if not.
     fn add(&mut self, guards: Vec<(String, Stamp)>, apply: Vec<Change>, work: Work) -> bool {
         let size: usize = apply
@@ -163,7 +215,7 @@
             Flight::None => {}
             Flight::Writing { seq, at, .. } if now - *at > LOST => {
                 let seq = *seq;
-                self.write_unclear(now, seq);
+                self.write_unclear(now, seq, &[]);
                 return;
             }
             Flight::Reading { keys, at, .. } if now - *at > LOST => {
@@ -173,21 +225,29 @@
             }
             _ => return,
         }
-        if now < self.writer.not_before {
+        if now < self.writer.not_before || now - self.writer.last < WRITE_EVERY {
             return;
         }
         let mut draft = Draft {
-            guards: BTreeMap::from([(LEAD.to_string(), self.lead_stamp)]),
+            guards: BTreeMap::from([(LEAD.to_string(), self.lead.stamp)]),
             apply: Vec::new(),
             works: Vec::new(),
             most_ops: self.policy.facts.state.txn_ops,
             bytes: 0,
         };
+        self.draft_raise(now, &mut draft);
+        self.draft_hosts(now, false, &mut draft);
+        // Launches leave room for finishes: neither starves the other.
+        self.draft_launches(&mut draft, 2);
         self.draft_finishes(&mut draft);
-        self.draft_launches(&mut draft);
-        self.draft_progress(&mut draft);
-        self.draft_sweeping(now, &mut draft);
-        self.draft_hints(now, &mut draft);
+        self.draft_launches(&mut draft, 0);
+        // What may wait takes only what is left of the rate.
+        if self.writer.budget.left(now) > 0.4 {
+            self.draft_progress(now, &mut draft);
+            self.draft_sweeping(now, &mut draft);
+            self.draft_hosts(now, true, &mut draft);
+            self.draft_hints(now, &mut draft);
+        }
         if draft.apply.is_empty() || !self.writer.budget.take(now, draft.apply.len() as f64) {
             return;
         }
@@ -200,6 +260,7 @@
             apply: draft.apply,
         };
         let seq = self.seq();
+        self.writer.last = now;
         self.writer.flight = Flight::Writing {
             seq,
             txn: txn.clone(),
@@ -209,11 +270,100 @@
         self.effects.push(Effect::Write { seq, txn });
     }
 
-    fn draft_finishes(&self, draft: &mut Draft) {
-        for (id, job) in &self.jobs {
-            if job.over || !job.complete() {
-                continue;
+    /// A leader raises its own baton from time to time, so that tombstones of direct launches can be
+    /// cleared: a copy of the command that launched carries a lower one by then.
+    fn draft_raise(&self, now: Millis, draft: &mut Draft) {
+        let since = now - self.writer.raised_at;
+        if since < RAISE_SOON {
+            return;
+        }
+        let tombs = |m: &Machine| m.starts.len() - m.live as usize;
+        let blocked = |s: &Start| s.ended() && s.launched_with == Some(self.lead.baton);
+        let lost = |m: &Machine| {
+            m.starts
+                .values()
+                .any(|s| matches!(s.direct, DirectCarrier::Lost(..)))
+        };
+        let soon = self.machines.values().any(|m| tombs(m) >= RAISE_AT);
+        let due = since >= RAISE_EVERY
+            && self
+                .machines
+                .values()
+                .any(|m| lost(m) || (tombs(m) > 0 && m.starts.values().any(blocked)));
+        if !soon && !due {
+            return;
+        }
+        let baton = Baton(self.lead.baton.0 + 1);
+        let record = LeadRecord {
+            host_name: self.lead.host_name.clone(),
+            baton,
+        };
+        let Ok(data) = serde_json::to_value(&record) else {
+            return;
+        };
+        let apply = vec![
+            Change::Put {
+                put: LEAD.into(),
+                data,
+                hold: Some(self.lead.hold),
+            },
+            Change::put(BATON.into(), baton.0.into()),
+        ];
+        let guards = vec![(BATON.to_string(), self.lead.baton_stamp)];
+        draft.add(guards, apply, Work::Raise { baton });
+    }
+
+    fn draft_hosts(&self, now: Millis, lazy: bool, draft: &mut Draft) {
+        for page in self.writer.hosts.due(now, STALE_HOSTS, lazy) {
+            let (hosts, stamp) = self.writer.hosts.page(page);
+            let key = hosts_key(page);
+            let data = self.hosts_page(&hosts);
+            let apply = vec![Change::put(key.clone(), data)];
+            if !draft.add(vec![(key, stamp)], apply, Work::Hosts { page, hosts }) {
+                return;
             }
+        }
+    }
+
+    /// A page of machines as it is written: with hints about images, if they fit.
+    fn hosts_page(&self, hosts: &BTreeSet<HostId>) -> serde_json::Value {
+        let full = self.hosts_page_with(hosts, HOST_IMAGES);
+        let size = full.to_string().len();
+        if size <= value_bytes(&self.policy.facts.state) {
+            return full;
+        }
+        self.hosts_page_with(hosts, 0)
+    }
+
+    fn hosts_page_with(&self, hosts: &BTreeSet<HostId>, most_images: usize) -> serde_json::Value {
+        let mut page = HostsPage::default();
+        let mut kinds: BTreeMap<(Rig, Site, bool), usize> = BTreeMap::new();
+        let mut images: BTreeMap<Image, usize> = BTreeMap::new();
+        for m in hosts.iter().filter_map(|h| self.machines.get(h)) {
+            let kind = (m.rig.clone(), m.site.clone(), m.spot);
+            let kind = *kinds.entry(kind.clone()).or_insert_with(|| {
+                page.kinds.push(kind);
+                page.kinds.len() - 1
+            });
+            let held = m.images.iter().rev().take(most_images).rev();
+            let held = held
+                .map(|(image, gb)| {
+                    *images.entry(image.clone()).or_insert_with(|| {
+                        page.images.push((image.clone(), *gb));
+                        page.images.len() - 1
+                    })
+                })
+                .collect();
+            let rented_s = self.day_ms.saturating_add_signed(m.since.0) / 1000;
+            let up = m.standing != Standing::Booting;
+            page.hosts
+                .insert(m.id.clone(), HostNote(kind, rented_s, up, held));
+        }
+        serde_json::to_value(&page).unwrap_or_default()
+    }
+
+    fn draft_finishes(&self, draft: &mut Draft) {
+        for (id, job) in self.jobs_in(&self.indexes.complete) {
             let mark = FinalRecord {
                 phase: JobPhase::Done,
                 spec: job.spec.clone(),
@@ -234,49 +384,133 @@
         }
     }
 
-    fn draft_launches(&self, draft: &mut Draft) {
-        for m in self.machines.values() {
-            if m.starts.values().all(|s| s.durable) {
-                continue;
+    fn jobs_in<'a>(
+        &'a self,
+        ids: &'a BTreeSet<JobId>,
+    ) -> impl Iterator<Item = (&'a JobId, &'a Job)> {
+        ids.iter().filter_map(|id| Some((id, self.jobs.get(id)?)))
+    }
+
+    /// Whether a start is planned and not yet written.
+    fn unwritten(&self, key: &StartKey) -> bool {
+        let m = self.machines.get(&key.host);
+        let start = m.and_then(|m| m.starts.get(&(key.piece.clone(), key.attempt)));
+        start.is_some_and(|s| s.page.is_none() && s.untouched())
+    }
+
+    /// Starts that wait for their intent, in the order in which they were planned, packed into pages;
+    /// `spare` operations are left to others.
+    fn draft_launches(&mut self, draft: &mut Draft, spare: usize) {
+        let mut intents = std::mem::take(&mut self.writer.intents);
+        intents.drop_settled(|k| self.unwritten(k));
+        self.pack_launches(&intents, draft, spare);
+        self.writer.intents = intents;
+    }
+
+    fn pack_launches(&self, intents: &IntentPages, draft: &mut Draft, spare: usize) {
+        let most_bytes = value_bytes(&self.policy.facts.state);
+        let drafted: BTreeSet<StartKey> = draft.launches().cloned().collect();
+        let mut waiting = intents
+            .waiting()
+            .filter(|k| !drafted.contains(*k) && self.unwritten(k))
+            .peekable();
+        let mut taken: BTreeSet<PageNo> = draft.intent_pages().collect();
+        while waiting.peek().is_some() && draft.apply.len() + spare < draft.most_ops {
+            let mut page = intents.emptiest(&taken);
+            let (mut keys, mut stamp) = page.map_or((Vec::new(), Stamp(0)), |p| intents.page(p));
+            let mut size = self.measure(&keys);
+            if size.bytes() > most_bytes / 2 {
+                // Most of it still stands: a new page costs no more.
+                page = None;
+                (keys, stamp) = (Vec::new(), Stamp(0));
+                size = Measure::default();
             }
-            let mut guards = vec![(intents_key(&m.id), m.stamp)];
-            let mut starts: BTreeSet<(PieceId, Try)> = m
-                .wanted_intents()
-                .filter(|s| s.durable)
-                .map(|s| (s.piece.clone(), s.attempt))
-                .collect();
-            for s in m.starts.values().filter(|s| !s.durable) {
-                let Some(job) = self.jobs.get(&s.piece.job).filter(|j| !j.over) else {
+            let page = page.unwrap_or_else(|| intents.fresh(&taken));
+            taken.insert(page);
+            let mut guards = vec![(intents_key(page), stamp)];
+            let mut jobs: BTreeSet<JobId> = BTreeSet::new();
+            let before = keys.len();
+            while let Some(k) = waiting.peek() {
+                let id = &k.piece.job;
+                let noted = self.machines.get(&k.host).is_some_and(|m| m.noted);
+                let Some(job) = self.jobs.get(id).filter(|j| !j.over && noted) else {
+                    // Its machine's page comes first; its job is over: it is dropped elsewhere.
+                    waiting.next();
                     continue;
                 };
-                // The open record's version is the guard: a job that its user cancelled meanwhile
-                // can't be launched.
-                let guard = (open_key(&s.piece.job), job.stamp);
-                if !guards.contains(&guard) {
-                    if guards.len() + 1 >= draft.most_ops * 4 {
-                        continue;
+                if !jobs.contains(id) {
+                    if !draft.guards_fit(guards.len() + 1) {
+                        break;
                     }
-                    guards.push(guard);
+                    // The open record's version is the guard: a job that its user cancelled
+                    // meanwhile can't be launched.
+                    guards.push((open_key(id), job.stamp));
+                    jobs.insert(id.clone());
+                }
+                size.add(k, &job.spec.team);
+                if size.bytes() > most_bytes {
+                    break;
                 }
-                starts.insert((s.piece.clone(), s.attempt));
+                keys.push((*k).clone());
+                waiting.next();
             }
-            let Ok(data) = serde_json::to_value(m.record(self.day_ms, starts.iter())) else {
-                continue;
-            };
-            let apply = vec![Change::put(intents_key(&m.id), data)];
-            let work = Work::Intents {
-                host: m.id.clone(),
-                starts,
-            };
-            if !draft.add(guards, apply, work) {
+            if keys.len() == before {
+                return;
+            }
+            let data = self.intents_page(&keys);
+            let apply = vec![Change::put(intents_key(page), data)];
+            if !draft.add(guards, apply, Work::Intents { page, keys }) {
                 return;
             }
         }
     }
 
-    fn draft_progress(&self, draft: &mut Draft) {
-        for (id, job) in &self.jobs {
-            if job.over || job.unsaved.is_empty() || job.complete() {
+    fn measure(&self, keys: &[StartKey]) -> Measure {
+        let mut size = Measure::default();
+        for k in keys {
+            let team = self.jobs.get(&k.piece.job).map(|j| j.spec.team.as_str());
+            size.add(k, team.unwrap_or_default());
+        }
+        size
+    }
+
+    fn intents_page(&self, keys: &[StartKey]) -> serde_json::Value {
+        let mut page = IntentsPage::default();
+        for k in keys {
+            page.add(&k.host, &k.piece, k.attempt);
+            if !page.jobs.contains_key(&k.piece.job) {
+                page.jobs.insert(k.piece.job.clone(), self.takes(k));
+            }
+        }
+        serde_json::to_value(&page).unwrap_or_default()
+    }
+
+    /// What a start's job takes: from the job, or, if that is over and forgotten, from the start.
+    fn takes(&self, k: &StartKey) -> JobTakes {
+        if let Some(j) = self.jobs.get(&k.piece.job) {
+            return JobTakes::of(&j.spec);
+        }
+        let m = self.machines.get(&k.host);
+        let s = m.and_then(|m| m.starts.get(&(k.piece.clone(), k.attempt)));
+        let team = self.policy.team(s.and_then(|s| s.team));
+        let need = s.map(|s| s.need).unwrap_or_default();
+        JobTakes(
+            team.map(|t| t.name.clone()).unwrap_or_default(),
+            need.cpus,
+            need.gpus,
+            need.ram_gb,
+        )
+    }
+
+    fn draft_progress(&self, now: Millis, draft: &mut Draft) {
+        if now - self.writer.progress_at < PROGRESS_EVERY {
+            return;
+        }
+        // Most unsaved first: it is they whose tombstones fill reports.
+        let mut jobs: Vec<(&JobId, &Job)> = self.jobs_in(&self.indexes.unsaved).collect();
+        jobs.sort_by_key(|(id, j)| (Reverse(j.unsaved.len()), *id));
+        for (id, job) in jobs {
+            if job.complete() {
                 continue;
             }
             let chunks: BTreeSet<u32> = job.unsaved.iter().map(|i| i / CHUNK).collect();
@@ -309,16 +543,6 @@
 
     /// Records that say more than is true: harmless, so they wait for a quiet moment.
     fn draft_sweeping(&self, now: Millis, draft: &mut Draft) {
-        for (host, stamp) in &self.writer.swept {
-            let key = intents_key(host);
-            let apply = vec![Change::Delete {
-                delete: key.clone(),
-            }];
-            let work = Work::DropIntents { host: host.clone() };
-            if !draft.add(vec![(key, *stamp)], apply, work) {
-                return;
-            }
-        }
         for (key, stamp) in &self.writer.litter {
             let apply = vec![Change::Delete {
                 delete: key.clone(),
@@ -328,31 +552,17 @@
                 return;
             }
         }
-        for m in self.machines.values() {
-            // A machine just rented gets a record at once: a new leader that didn't know of it would
-            // rent another in its place, for the cloud's list lags.
-            let new = m.stamp == Stamp(0) && m.standing != Standing::Returning;
-            let ripe = m.stale_since.is_some_and(|t| now - t > STALE) && m.stamp != Stamp(0);
-            if !(ripe || new) || m.starts.values().any(|s| !s.durable) {
+        let taken: BTreeSet<PageNo> = draft.intent_pages().collect();
+        for page in self.writer.intents.stale(now, STALE) {
+            let (keys, stamp) = self.writer.intents.page(page);
+            if taken.contains(&page) || !keys.is_empty() {
                 continue;
             }
-            let starts: BTreeSet<(PieceId, Try)> = m
-                .wanted_intents()
-                .map(|s| (s.piece.clone(), s.attempt))
-                .collect();
-            if starts == m.saved && !new {
-                continue;
-            }
-            let Ok(data) = serde_json::to_value(m.record(self.day_ms, starts.iter())) else {
-                continue;
-            };
-            let key = intents_key(&m.id);
-            let apply = vec![Change::put(key.clone(), data)];
-            let work = Work::Intents {
-                host: m.id.clone(),
-                starts,
-            };
-            if !draft.add(vec![(key, m.stamp)], apply, work) {
+            let key = intents_key(page);
+            let apply = vec![Change::Delete {
+                delete: key.clone(),
+            }];
+            if !draft.add(vec![(key, stamp)], apply, Work::DropIntents { page }) {
                 return;
             }
         }
@@ -381,31 +591,32 @@
         let stamp = Stamp(epoch.0);
         for work in works {
             match work {
-                Work::Intents { host, starts } => match self.machines.get_mut(&host) {
-                    Some(m) => {
-                        m.stamp = stamp;
-                        m.stale_since = None;
-                        for key in &starts {
-                            match m.starts.get_mut(key) {
-                                Some(s) => s.durable = true,
-                                None => m.stale_since = Some(now),
-                            }
+                Work::Intents { page, keys } => self.intents_written(now, page, stamp, keys),
+                Work::DropIntents { page } => self.writer.intents.deleted(page),
+                Work::Hosts { page, hosts } => {
+                    self.writer.hosts.written(now, page, stamp, &hosts);
+                    for h in &hosts {
+                        if let Some(m) = self.machines.get_mut(h) {
+                            m.noted = true;
                         }
-                        m.saved = starts;
                     }
-                    // The machine went while its record was written.
-                    None => self.writer.sweep(&host, stamp),
-                },
-                Work::DropIntents { host } => {
-                    self.writer.swept.remove(&host);
+                }
+                Work::Raise { baton } => {
+                    tracing::debug!(baton = %baton, "our baton is raised");
+                    self.lead.baton = baton;
+                    self.lead.stamp = stamp;
+                    self.lead.baton_stamp = stamp;
+                    self.writer.raised_at = now;
                 }
                 Work::Progress { job, chunk, tasks } => {
                     self.writer.progress.insert((job.clone(), chunk), stamp);
+                    self.writer.progress_at = now;
                     if let Some(j) = self.jobs.get_mut(&job) {
                         j.unsaved.retain(|i| !tasks.contains(i));
                         if j.over {
                             self.litter_of(&job);
                         }
+                        self.index_job(&job);
                     }
                 }
                 Work::Finish { job } => {
@@ -425,6 +636,29 @@
         }
     }
 
+    /// A page is written: its new starts may be launched.
+    fn intents_written(&mut self, now: Millis, page: PageNo, stamp: Stamp, keys: Vec<StartKey>) {
+        let mut hosts = BTreeSet::new();
+        let mut live = Vec::new();
+        let mut gone = false;
+        for k in keys {
+            let m = self.machines.get_mut(&k.host);
+            let start = m.and_then(|m| m.starts.get_mut(&(k.piece.clone(), k.attempt)));
+            match start.filter(|s| !s.ended()) {
+                Some(s) => {
+                    if s.page.is_none() {
+                        hosts.insert(k.host.clone());
+                    }
+                    s.page = Some(page);
+                    live.push(k);
+                }
+                None => gone = true,
+            }
+        }
+        self.writer.intents.written(now, page, stamp, live, gone);
+        self.direct_due.extend(hosts);
+    }
+
     /// Progress records of a job that is over are swept when there is time.
     pub(crate) fn litter_of(&mut self, id: &JobId) {
         let keys: Vec<(JobId, u32)> = self
@@ -448,15 +682,24 @@
         }
     }
 
-    pub(crate) fn write_unclear(&mut self, now: Millis, seq: u64) {
+    /// A write whose guards failed (these, if it is known which), or of which nothing is known.
+    pub(crate) fn write_unclear(&mut self, now: Millis, seq: u64, failed: &[String]) {
         let Flight::Writing { seq: s, txn, .. } = &self.writer.flight else {
             return;
         };
         if *s != seq {
             return;
         }
-        let keys = txn.guards.iter().map(|g| g.key.clone()).collect();
-        self.read_again(now, keys);
+        let mut keys: BTreeSet<String> = txn.apply.iter().map(|c| c.key().to_string()).collect();
+        keys.insert(LEAD.into());
+        // Of open jobs only those that failed, if the service said which; else all of them.
+        let guards = txn.guards.iter().map(|g| &g.key);
+        keys.extend(
+            guards
+                .filter(|k| failed.is_empty() || failed.contains(k))
+                .cloned(),
+        );
+        self.read_again(now, keys.into_iter().collect());
     }
 
     fn read_again(&mut self, now: Millis, keys: Vec<String>) {
@@ -480,19 +723,18 @@
         for (key, item) in items {
             let stamp = item.as_ref().map_or(Stamp(0), |i| i.stamp);
             if key == LEAD {
-                if stamp != self.lead_stamp {
-                    self.effects.push(Effect::StepDown {
-                        why: "the leader key is no longer ours",
-                    });
-                }
+                self.lead_reread(now, item);
+            } else if key == BATON {
+                self.lead.baton_stamp = stamp;
             } else if key == HINTS {
                 self.writer.hints = stamp;
-            } else if let Some(id) = key.strip_prefix(crate::bookkeeping::records::OPEN) {
+            } else if let Some(id) = key.strip_prefix(OPEN) {
                 self.open_reread(now, id, stamp);
-            } else if let Some(host) = key.strip_prefix(crate::bookkeeping::records::INTENTS) {
-                self.intents_reread(now, host, stamp);
-            } else if let Some((job, chunk)) = crate::bookkeeping::records::parse_progress_key(&key)
-            {
+            } else if let Some(page) = parse_page(&key, INTENTS) {
+                self.writer.intents.reread(now, page, stamp);
+            } else if let Some(page) = parse_page(&key, HOSTS) {
+                self.writer.hosts.reread(now, page, stamp);
+            } else if let Some((job, chunk)) = parse_progress_key(&key) {
                 if self.writer.litter.remove(&key).is_some() {
                     if stamp != Stamp(0) {
                         self.writer.litter.insert(key, stamp);
@@ -515,17 +757,26 @@
         }
     }
 
-    fn intents_reread(&mut self, now: Millis, host: &str, stamp: Stamp) {
-        let host = HostId::from(host);
-        if let Some(m) = self.machines.get_mut(&host) {
-            m.stamp = stamp;
-            // Whatever it holds, it is written again in full.
-            m.saved.clear();
-            m.stale_since = Some(now);
-        } else if stamp == Stamp(0) {
-            self.writer.swept.remove(&host);
-        } else {
-            self.writer.sweep(&host, stamp);
+    /// The leader key is ours as long as it is on our lease. It may carry a baton that we raised
+    /// without learning of it.
+    fn lead_reread(&mut self, now: Millis, item: Option<Item>) {
+        let ours = item
+            .filter(|i| i.hold == Some(self.lead.hold))
+            .and_then(|i| {
+                let record: LeadRecord = serde_json::from_value(i.data).ok()?;
+                (record.host_name == self.lead.host_name).then_some((record.baton, i.stamp))
+            });
+        match ours {
+            Some((baton, stamp)) => {
+                if baton > self.lead.baton {
+                    self.lead.baton = baton;
+                    self.writer.raised_at = now;
+                }
+                self.lead.stamp = stamp;
+            }
+            None => self.effects.push(Effect::StepDown {
+                why: "the leader key is no longer ours",
+            }),
         }
     }
 }
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -4,11 +4,10 @@
 use super::state_client::{StateError, TxnOutcome, CALL};
 use super::{lock, time_of_day_ms, Node};
 use crate::bookkeeping::records::{
-    final_key, FinalRecord, IntentRecord, LeadRecord, OpenRecord, BATON, HINTS, INTENTS, LEAD,
-    OPEN, PROGRESS,
+    LeadRecord, OpenRecord, BATON, HINTS, HOSTS, INTENTS, LEAD, OPEN, PROGRESS,
 };
-use crate::coordination::leadership::{should_hand_over, Authority};
-use crate::coordination::recovery::{closed_jobs_named, Inheritance};
+use crate::coordination::leadership::{should_hand_over, Authority, Lead};
+use crate::coordination::recovery::Inheritance;
 use crate::coordination::worker_sessions::CheckInAnswer;
 use crate::coordination::{Core, Effect, Event};
 use crate::ids::{Baton, Epoch, Hold, HostId, JobId, Millis, Stamp};
@@ -75,7 +74,7 @@
                 self.wake.notify_one();
                 return match answer {
                     CheckInAnswer::Orders(orders) => CheckIn::Orders {
-                        baton: a.authority.baton,
+                        baton: a.core.baton(),
                         orders,
                     },
                     CheckInAnswer::Refuse => CheckIn::GoTo(None),
@@ -131,9 +130,7 @@
 }
 
 struct Won {
-    baton: Baton,
-    stamp: Stamp,
-    hold: Hold,
+    lead: Lead,
     authority: Arc<Authority>,
 }
 
@@ -181,8 +178,8 @@
             Change::put(BATON.into(), baton.0.into()),
         ],
     };
-    let stamp = match node.state.txn(&txn).await {
-        Ok(TxnOutcome::Applied(epoch)) => Stamp(epoch.0),
+    let (stamp, baton_stamp) = match node.state.txn(&txn).await {
+        Ok(TxnOutcome::Applied(epoch)) => (Stamp(epoch.0), Stamp(epoch.0)),
         Err(StateError::Unclear) => {
             // Only what is read settles it: the key carries our lease and this baton, or not.
             let item = node.state.get(LEAD).await.ok()??;
@@ -190,40 +187,54 @@
             if item.hold != Some(hold) || record.baton != baton {
                 return None;
             }
-            item.stamp
+            // Both keys were written by the same transaction.
+            (item.stamp, item.stamp)
         }
         _ => return None,
     };
     let life = Millis(node.settings.operator.leader_life_ms as i64);
     let margin = Millis(node.settings.operator.authority_margin_ms as i64);
     Some(Won {
-        baton,
-        stamp,
-        hold,
-        authority: Arc::new(Authority::new(baton, life, margin, sent)),
+        lead: Lead {
+            baton,
+            first: baton,
+            stamp,
+            baton_stamp,
+            hold,
+            host_name: record.host_name,
+        },
+        authority: Arc::new(Authority::new(life, margin, sent)),
     })
 }
 
 /// Leads until authority is lost.
 async fn lead(node: &Arc<Node>, won: Won) {
     let end = node.stop.child_token();
-    tracing::info!(baton = %won.baton, "leading");
+    let (first, hold) = (won.lead.first, won.lead.hold);
+    tracing::info!(baton = %first, "leading");
     let renewing = tokio::spawn(renew(
         node.clone(),
         won.authority.clone(),
-        won.hold,
+        hold,
         end.clone(),
     ));
-    match inherit(node).await {
-        Some((found, epoch)) if won.authority.holds(node.now()) => {
-            let jobs = found.open.len();
-            let core =
-                Core::take_over(node.policy.clone(), won.baton, won.stamp, node.now(), found);
+    let found = inherit(node).await;
+    let core = found.and_then(|(found, epoch)| {
+        let jobs = found.open.len();
+        let taken = Core::take_over(node.policy.clone(), won.lead, node.now(), found);
+        // Guards against taking a start for never launched because its record can't be read.
+        taken
+            .map_err(|e| tracing::error!(error = %e, "a record can't be read: not leading"))
+            .ok()
+            .map(|core| (core, epoch, jobs))
+    });
+    match core {
+        Some((core, epoch, jobs)) if won.authority.holds(node.now()) => {
             *lock(&node.leader.active) = Some(Active {
                 core,
                 authority: won.authority.clone(),
             });
-            tracing::info!(baton = %won.baton, jobs, "took over");
+            tracing::info!(baton = %first, jobs, "took over");
             let mut duties = tokio::task::JoinSet::new();
             duties.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
             duties.spawn(watch_jobs(node.clone(), epoch, end.clone()));
@@ -234,15 +245,15 @@
             end.cancelled().await;
             duties.shutdown().await;
         }
-        _ => tracing::info!(baton = %won.baton, "could not take over"),
+        _ => tracing::info!(baton = %first, "could not take over"),
     }
     won.authority.resign();
     *lock(&node.leader.active) = None;
     end.cancel();
     let _ = renewing.await;
-    tracing::info!(baton = %won.baton, "leading no more");
+    tracing::info!(baton = %first, "leading no more");
     // Others needn't wait for a lease that we don't use. Everything of ours has stopped by now.
-    node.state.revoke(won.hold).await;
+    node.state.revoke(hold).await;
 }
 
 /// Touches the lease until authority is lost.
@@ -275,28 +286,15 @@
 async fn inherit(node: &Node) -> Option<(Inheritance, Epoch)> {
     let (open, epoch) = node.state.list(OPEN).await.ok()?;
     let (progress, _) = node.state.list(PROGRESS).await.ok()?;
+    let (hosts, _) = node.state.list(HOSTS).await.ok()?;
     let (intents, _) = node.state.list(INTENTS).await.ok()?;
-    // Guards against taking a start for never launched because its record can't be read.
-    for item in &intents {
-        if let Err(e) = serde_json::from_value::<IntentRecord>(item.data.clone()) {
-            tracing::error!(key = %item.key, error = %e, "an intent record can't be read: not leading");
-            return None;
-        }
-    }
     let open = read_open(node, open);
-    let mut closed = Vec::new();
-    for id in closed_jobs_named(&open, &intents) {
-        if let Some(item) = node.state.get(&final_key(&id)).await.ok()? {
-            let mark: FinalRecord = serde_json::from_value(item.data).ok()?;
-            closed.push(mark);
-        }
-    }
     let hints = node.state.get(HINTS).await.ok()?;
     let found = Inheritance {
         open,
         progress,
         intents,
-        closed,
+        hosts,
         rigs: lock(&node.rigs).clone(),
         hints,
         day_ms: time_of_day_ms().saturating_sub(node.now().0.max(0) as u64),
@@ -513,7 +511,7 @@
                 if !end.is_cancelled() && authority.holds(node.now()) {
                     if let Some(event) = carry_out(&node, &authority, effect).await {
                         if !end.is_cancelled() {
-                            node.leader.event_of(node.now(), authority.baton, event);
+                            node.leader.event_of(node.now(), &authority, event);
                         }
                     }
                 }
@@ -524,10 +522,10 @@
 
 impl LeaderCell {
     /// Hands over an outcome, if the leadership that asked for it is still the one going on.
-    fn event_of(&self, now: Millis, baton: Baton, event: Event) {
+    fn event_of(&self, now: Millis, authority: &Arc<Authority>, event: Event) {
         let same = lock(&self.active)
             .as_ref()
-            .is_some_and(|a| a.authority.baton == baton);
+            .is_some_and(|a| Arc::ptr_eq(&a.authority, authority));
         if same {
             self.event(now, event);
         }
@@ -538,8 +536,12 @@
     match effect {
         Effect::Write { seq, txn } => Some(match node.state.txn(&txn).await {
             Ok(TxnOutcome::Applied(epoch)) => Event::Written { seq, epoch },
+            Ok(TxnOutcome::Conflict(failed)) => Event::WriteUnclear { seq, failed },
             Err(StateError::Refused) => Event::NotWritten { seq },
-            _ => Event::WriteUnclear { seq },
+            Err(_) => Event::WriteUnclear {
+                seq,
+                failed: Vec::new(),
+            },
         }),
         Effect::Reread { seq, keys } => {
             let mut items = Vec::new();
@@ -552,11 +554,12 @@
             host,
             endpoint,
             seq,
+            baton,
             tenure,
             orders,
         } => {
             let commands = Commands {
-                baton: authority.baton,
+                baton,
                 tenure,
                 orders,
             };
--- a/src/duties/state_client.rs
+++ b/src/duties/state_client.rs
@@ -1,7 +1,7 @@
 //! Typed calls to the state service. Every failure says whether the request can have been executed.
 
 use crate::ids::{Epoch, Hold};
-use crate::protocol::state::{AtEpoch, Granted, Item, NewsPage, Page, Txn};
+use crate::protocol::state::{AtEpoch, Conflict, Granted, Item, NewsPage, Page, Txn};
 use crate::transport::client::{Answer, Client, NoAnswer};
 use hyper::Method;
 use serde::de::DeserializeOwned;
@@ -22,11 +22,11 @@
 }
 
 /// The outcome of a transaction that was answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TxnOutcome {
     Applied(Epoch),
-    /// A guard failed.
-    Conflict,
+    /// Guards failed, these at least.
+    Conflict(Vec<String>),
 }
 
 /// Time allowed for one ordinary call. Answers usually take milliseconds.
@@ -138,7 +138,12 @@
         let a = self.call(Method::POST, "/multi", Some(body), CALL).await?;
         match a.status {
             200 => Ok(TxnOutcome::Applied(Self::read::<AtEpoch>(&a)?.epoch)),
-            409 => Ok(TxnOutcome::Conflict),
+            409 => {
+                let conflict: Option<Conflict> = serde_json::from_slice(&a.body).ok();
+                Ok(TxnOutcome::Conflict(
+                    conflict.map(|c| c.failed).unwrap_or_default(),
+                ))
+            }
             400 => {
                 let text = String::from_utf8_lossy(&a.body);
                 if text.contains("no such lease") {
--- a/src/duties/users.rs
+++ b/src/duties/users.rs
@@ -183,7 +183,7 @@
             accepted(201, &id, JobPhase::Queued)
         }
         // Known already, or an unclear outcome: settled by reading before anything is answered.
-        Ok(TxnOutcome::Conflict) | Err(StateError::Unclear) => {
+        Ok(TxnOutcome::Conflict(_)) | Err(StateError::Unclear) => {
             let unsettled = Reply::busy("the outcome is not known yet");
             if_known(node, Some(&id), unsettled).await
         }
@@ -273,7 +273,7 @@
                 node.leader.nudge();
                 return accepted(200, &id, JobPhase::Cancelled);
             }
-            Ok(TxnOutcome::Conflict) | Err(StateError::Unclear) => continue,
+            Ok(TxnOutcome::Conflict(_)) | Err(StateError::Unclear) => continue,
             Err(_) => break,
         }
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -65,6 +65,14 @@
 number!(/// A lease held on the state service.
     Hold);
 
+/// One page of records that are packed together on the state service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PageNo(pub u32);
+
+/// A team's place in the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TeamNo(pub usize);
+
 macro_rules! name {
     ($(#[$m:meta])* $name:ident) => {
         $(#[$m])*
@@ -98,6 +106,8 @@
     Rig);
 name!(/// A zone.
     Site);
+name!(/// An image that tasks need.
+    Image);
 
 impl JobId {
     /// Reads an id as users write it: `wk-` and digits; anything else is no job's id.
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -77,6 +77,13 @@
     pub epoch: Epoch,
 }
 
+/// The answer to a transaction whose guards failed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Conflict {
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
 /// The answer to granting a lease.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Granted {
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -1,6 +1,6 @@
 //! Users -> controllers: submissions, polls and cancellations.
 
-use crate::ids::{JobId, Rig, Site};
+use crate::ids::{Image, JobId, Rig, Site};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -44,7 +44,7 @@
     #[serde(rename = "ramGb")]
     pub ram_gb: f64,
     #[serde(rename = "bundle")]
-    pub image: String,
+    pub image: Image,
     #[serde(rename = "pullGb")]
     pub image_gb: f64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -22,6 +22,12 @@
         }
     }
 
+    /// The part of a burst that could be taken now.
+    pub fn left(&self, now: Millis) -> f64 {
+        let passed = (now - self.at).secs().max(0.0);
+        (self.left + passed * self.per_s).min(self.burst) / self.burst
+    }
+
     /// Takes `n`, or nothing.
     pub fn take(&mut self, now: Millis, n: f64) -> bool {
         let passed = (now - self.at).secs().max(0.0);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -140,7 +140,7 @@
         cpus: w.num("cpus", 1.0),
         gpus: w.num("gpus", 1.0),
         ram_gb: 1.0,
-        image: w.get("image").unwrap_or("img").into(),
+        image: Image::from(w.get("image").unwrap_or("img")),
         image_gb: w.num("gb", 2.0),
         rigs: None,
         site: w.get("site").map(Site::from),
