--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -7,7 +7,8 @@
 pub mod worker;
 
 use chalklug::bookkeeping::records::*;
-use chalklug::coordination::recovery::{closed_jobs_named, Inheritance};
+use chalklug::coordination::leadership::Lead;
+use chalklug::coordination::recovery::Inheritance;
 use chalklug::coordination::worker_sessions::CheckInAnswer;
 use chalklug::coordination::{Core, Effect, Event, Policy};
 use chalklug::ids::*;
@@ -45,6 +46,7 @@
     },
     Direct {
         leader: Baton,
+        baton: Baton,
         host: HostId,
         seq: u64,
         tenure: Tenure,
@@ -78,7 +80,7 @@
     pub rng: StdRng,
     core: Option<Core>,
     seen_epoch: Epoch,
-    lead_stamp: Stamp,
+    holds: u64,
     messages: Vec<(Millis, u64, Message)>,
     sent: u64,
     hired: BTreeMap<String, Vec<HostId>>,
@@ -109,7 +111,7 @@
             rng: StdRng::seed_from_u64(seed),
             core: None,
             seen_epoch: Epoch(0),
-            lead_stamp: Stamp(0),
+            holds: 0,
             messages: Vec::new(),
             sent: 0,
             hired: BTreeMap::new(),
@@ -182,12 +184,24 @@
     pub fn lead(&mut self) {
         let last = self.store.get(BATON);
         let baton = Baton(last.as_ref().and_then(|i| i.data.as_u64()).unwrap_or(0) + 1);
-        let put = |k: &str, v| Change::put(k.into(), v);
+        self.holds += 1;
+        let hold = Hold(self.holds);
+        let record = LeadRecord {
+            host_name: format!("controller-{}", self.holds),
+            baton,
+        };
         let txn = Txn {
             guards: Vec::new(),
-            apply: vec![put(LEAD, baton.0.into()), put(BATON, baton.0.into())],
+            apply: vec![
+                Change::Put {
+                    put: LEAD.into(),
+                    data: serde_json::to_value(&record).unwrap(),
+                    hold: Some(hold),
+                },
+                Change::put(BATON.into(), baton.0.into()),
+            ],
         };
-        self.lead_stamp = Stamp(self.store.apply(&txn).unwrap().0);
+        let stamp = Stamp(self.store.apply(&txn).unwrap().0);
         let now = self.now;
         let open: Vec<_> = self
             .store
@@ -201,29 +215,26 @@
                 )
             })
             .collect();
-        let intents = self.store.list(INTENTS);
-        let closed = closed_jobs_named(&open, &intents)
-            .iter()
-            .filter_map(|id| self.store.get(&final_key(id)))
-            .map(|i| serde_json::from_value(i.data).unwrap())
-            .collect();
         let found = Inheritance {
             open,
             progress: self.store.list(PROGRESS),
-            intents,
-            closed,
+            intents: self.store.list(INTENTS),
+            hosts: self.store.list(HOSTS),
             rigs: self.rigs.clone(),
             hints: self.store.get(HINTS),
             day_ms: 0,
         };
         self.seen_epoch = self.store.epoch;
-        self.core = Some(Core::take_over(
-            self.policy.clone(),
+        let lead = Lead {
             baton,
-            self.lead_stamp,
-            now,
-            found,
-        ));
+            first: baton,
+            stamp,
+            baton_stamp: stamp,
+            hold,
+            host_name: record.host_name,
+        };
+        let core = Core::take_over(self.policy.clone(), lead, now, found);
+        self.core = Some(core.unwrap_or_else(|e| panic!("{e}")));
     }
 
     /// An order that the service itself would never send, to show that the checker sees it.
@@ -271,6 +282,9 @@
         for e in effects {
             self.carry_out(e);
         }
+        if let Some(Err(e)) = self.core.as_ref().map(Core::audit) {
+            panic!("{:.1} s: the ledgers are out of step: {e}", now.secs());
+        }
         self.checker.look(now, &self.workers, &self.store);
     }
 
@@ -367,6 +381,7 @@
             }
             Message::Direct {
                 leader,
+                baton,
                 host,
                 seq,
                 tenure,
@@ -382,6 +397,7 @@
                         wait,
                         Message::Direct {
                             leader,
+                            baton,
                             host,
                             seq,
                             tenure,
@@ -390,8 +406,8 @@
                     );
                     return;
                 }
-                if leader >= w.baton && tenure == w.tenure {
-                    w.baton = leader;
+                if baton >= w.baton && tenure == w.tenure {
+                    w.baton = baton;
                     for o in &orders {
                         w.execute(
                             now,
@@ -412,7 +428,7 @@
                 self.through_cut(&host, 10, Message::ToCore(leader, answer));
             }
             Message::ToCore(leader, event) => {
-                if let Some(core) = self.core.as_mut().filter(|c| c.baton() == leader) {
+                if let Some(core) = self.core.as_mut().filter(|c| c.first_baton() == leader) {
                     core.on(now, event);
                 }
             }
@@ -432,7 +448,10 @@
                 if answer {
                     let event = match outcome {
                         Some(epoch) => Event::Written { seq, epoch },
-                        None => Event::WriteUnclear { seq },
+                        None => Event::WriteUnclear {
+                            seq,
+                            failed: Vec::new(),
+                        },
                     };
                     self.send(10, Message::ToCore(leader, event));
                 }
@@ -508,7 +527,7 @@
     }
 
     fn carry_out(&mut self, e: Effect) {
-        let Some(leader) = self.core.as_ref().map(Core::baton) else {
+        let Some(leader) = self.core.as_ref().map(Core::first_baton) else {
             return;
         };
         let now = self.now;
@@ -516,12 +535,18 @@
             Effect::Write { seq, txn } => {
                 let mute = now < self.state_mute;
                 if mute {
-                    let unclear = Event::WriteUnclear { seq };
+                    let unclear = Event::WriteUnclear {
+                        seq,
+                        failed: Vec::new(),
+                    };
                     self.send(900, Message::ToCore(leader, unclear));
                 }
                 let late = if now < self.state_late { 3000 } else { 10 };
                 if late > 10 && !mute {
-                    let unclear = Event::WriteUnclear { seq };
+                    let unclear = Event::WriteUnclear {
+                        seq,
+                        failed: Vec::new(),
+                    };
                     self.send(900, Message::ToCore(leader, unclear));
                 }
                 let answer = !mute && late == 10;
@@ -545,6 +570,7 @@
             Effect::Direct {
                 host,
                 seq,
+                baton,
                 tenure,
                 orders,
                 ..
@@ -557,6 +583,7 @@
                 self.send(2500, Message::ToCore(leader, lost));
                 let m = Message::Direct {
                     leader,
+                    baton,
                     host: host.clone(),
                     seq,
                     tenure,
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -34,7 +34,7 @@
     pub sick: bool,
     pub recall_at: Option<Millis>,
     tick: u64,
-    images: BTreeSet<String>,
+    images: BTreeSet<Image>,
     next_report: Millis,
     changed: bool,
     hang: Option<Millis>,
