--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,6 +2,7 @@
 //! there is no I/O, clock, thread or random number inside. The duties around it carry the effects
 //! out, and check the leader's authority again as each one leaves.
 
+pub mod ageing;
 pub mod fleet;
 pub mod graph;
 pub mod leadership;
@@ -22,6 +23,7 @@
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Facts, Operator, Settings, Team};
+use ageing::Ageing;
 use fleet::Fleet;
 use graph::Graph;
 use starts::Indexes;
@@ -199,6 +201,7 @@
     /// Names that the cloud confirmed gone: late reports of theirs mean nothing.
     pub(crate) gone: BTreeSet<HostId>,
     pub(crate) fleet: Fleet,
+    pub(crate) ageing: Ageing,
     pub(crate) writer: Writer,
     pub(crate) effects: Vec<Effect>,
     pub(crate) next_seq: u64,
@@ -302,6 +305,7 @@
             self.last_recheck = now;
             self.graph.recheck();
             self.recheck_machines(now);
+            self.recheck_ageing(now);
             self.forget_closed_jobs();
             self.dirty = true;
         }
@@ -345,6 +349,7 @@
                 let due = self.deadline_of(&record, submitted);
                 self.graph.add(&id, &record.after, due);
                 self.note_arrival(&record.spec, submitted);
+                self.note_size(&record.spec.class, record.spec.pieces);
                 let team = self.team_of(&record.spec);
                 let job = Job::new(record.spec, team, stamp, submitted);
                 self.jobs.insert(id.clone(), job);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -235,12 +235,6 @@
             > 0.5
     }
 
-    /// Whether a job has waited for so long without beginning that it goes ahead of all others.
-    fn aged(&self, job: &Job, now: Millis) -> bool {
-        let bound = Millis::from_secs(self.policy.operator.begin_within_s / 2.0);
-        !job.begun && now - job.submitted > bound
-    }
-
     fn queue(&self, now: Millis) -> Vec<JobId> {
         if self.indexes.waiting.is_empty() {
             return Vec::new();
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -2,6 +2,7 @@
 //! and machines. Whatever has an intent counts as running until proven otherwise; what has none
 //! was never launched and may start at once.
 
+use super::ageing::Ageing;
 use super::fleet::Fleet;
 use super::graph::Graph;
 use super::leadership::Lead;
@@ -74,6 +75,7 @@
                 by_team: vec![BTreeSet::new(); teams],
                 ..Indexes::default()
             },
+            ageing: Ageing::default(),
             gone: BTreeSet::new(),
             effects: Vec::new(),
             next_seq: 0,
--- a/src/coordination/starts.rs
+++ b/src/coordination/starts.rs
@@ -108,7 +108,10 @@
         if ran != runs {
             if let Some(j) = self.jobs.get_mut(&key.0.job) {
                 j.running = (j.running + u32::from(runs)).saturating_sub(u32::from(ran));
-                j.begun |= runs;
+                if runs && !j.begun {
+                    j.begun = true;
+                    self.note_begun(now, &key.0.job);
+                }
             }
         }
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -144,8 +144,8 @@
     pub give_up_share: f64,
     /// User requests handled at once; more are told to come back.
     pub max_user_requests: usize,
-    /// Every job should have begun within this many seconds: one that has not, past half of them,
-    /// goes ahead of all others.
+    /// Most jobs of every kind should have begun within this many seconds: past two thirds of them,
+    /// jobs go ahead of all others if too many of their class, team or size are late.
     pub begin_within_s: f64,
 }
 
