Polls share one read of the open jobs; a controller cut off answers at once

Cause: one or two reads a poll, hundreds of polls every few seconds; a controller without state service and siblings made each user find that out anew.

--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -90,11 +90,11 @@
     pub after: Vec<JobId>,
 }
 
-/// The finish mark.
+/// The finish mark. Kept for ever, so it holds no more than what users are told.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct FinalRecord {
     pub phase: JobPhase,
-    pub spec: JobSpec,
+    pub pieces: u32,
 }
 
 /// What each task of a job takes, and whose it is: a page says it itself, for a new leader must
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -366,7 +366,7 @@
         for (id, job) in self.jobs_in(&self.indexes.complete) {
             let mark = FinalRecord {
                 phase: JobPhase::Done,
-                spec: job.spec.clone(),
+                pieces: job.spec.pieces,
             };
             let Ok(data) = serde_json::to_value(&mark) else {
                 continue;
--- /dev/null
+++ b/src/duties/copy.rs
@@ -0,0 +1,131 @@
+//! This controller's copy of the open jobs, brought up to date by one read that serves every question
+//! which came before it was sent. Hundreds of users ask every few seconds; a read or two for each
+//! would use up what the state service allows.
+//!
+//! Nobody is answered from an older state: a question waits for the next read that begins after it.
+
+use super::state_client::StateError;
+use super::{lock, Node};
+use crate::bookkeeping::records::{OpenRecord, OPEN};
+use crate::ids::{Epoch, JobId, Stamp};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::sync::{oneshot, Notify};
+
+/// An open job, as far as users' questions need it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OpenNote {
+    pub stamp: Stamp,
+    pub pieces: u32,
+}
+
+type Answer = Result<Option<OpenNote>, StateError>;
+
+/// The copy, and the questions that wait.
+#[derive(Default)]
+pub struct OpenCopy {
+    waiting: Mutex<Vec<(JobId, oneshot::Sender<Answer>)>>,
+    asked: Notify,
+}
+
+impl OpenCopy {
+    /// The job's open record as it stands at some moment after this call; None if it has none.
+    pub async fn ask(&self, id: &JobId) -> Answer {
+        let (send, receive) = oneshot::channel();
+        lock(&self.waiting).push((id.clone(), send));
+        self.asked.notify_one();
+        receive.await.unwrap_or(Err(StateError::Refused))
+    }
+}
+
+/// The part of the state service's requests that all controllers together use for this.
+const RATE_SHARE: f64 = 0.35;
+/// The copy is brought up to date this often even if nobody asks, so that it never falls far behind.
+const IDLE: Duration = Duration::from_secs(5);
+
+/// Keeps the copy and answers the questions.
+pub async fn keep(node: Arc<Node>) {
+    let nodes = node.siblings.len() as f64 + 1.0;
+    let rps = node.policy.facts.state.rps;
+    let spacing = Duration::from_secs_f64((nodes / (rps * RATE_SHARE)).clamp(0.03, 0.5));
+    let mut copy = State::default();
+    loop {
+        let asked = tokio::time::timeout(IDLE, node.copy.asked.notified());
+        tokio::select! {
+            _ = node.stop.cancelled() => return,
+            _ = asked => {}
+        }
+        let questions = std::mem::take(&mut *lock(&node.copy.waiting));
+        // The read is sent after these questions came: that is what makes it good for them.
+        let outcome = copy.update(&node).await;
+        for (id, answer) in questions {
+            let said = outcome.map(|()| copy.open.get(&id).copied());
+            let _ = answer.send(said);
+        }
+        tokio::select! {
+            _ = node.stop.cancelled() => return,
+            _ = tokio::time::sleep(spacing) => {}
+        }
+    }
+}
+
+#[derive(Default)]
+struct State {
+    open: BTreeMap<JobId, OpenNote>,
+    /// The revision that the copy stands for; None: to be listed anew.
+    epoch: Option<Epoch>,
+}
+
+/// The number of tasks, also of a record that can't be read otherwise: the job is open all the same.
+pub fn pieces_of(data: &Value) -> u32 {
+    match serde_json::from_value::<OpenRecord>(data.clone()) {
+        Ok(r) => r.spec.pieces,
+        Err(_) => {
+            let n = data.pointer("/spec/pieces").and_then(Value::as_u64);
+            n.and_then(|n| u32::try_from(n).ok()).unwrap_or(1)
+        }
+    }
+}
+
+impl State {
+    async fn update(&mut self, node: &Node) -> Result<(), StateError> {
+        let since = match self.epoch {
+            Some(e) => e,
+            None => {
+                let (items, epoch) = node.state.list(OPEN).await?;
+                self.open.clear();
+                for i in items {
+                    self.put(&i.key, &i.data, i.stamp);
+                }
+                epoch
+            }
+        };
+        let page = match node.state.watch(OPEN, since, Duration::ZERO).await {
+            Ok(page) => page,
+            Err(e) => {
+                // A list without the changes since isn't of one moment: it is made again.
+                self.epoch = self.epoch.filter(|_| e != StateError::TooOld);
+                return Err(e);
+            }
+        };
+        for n in page.news {
+            if let Some(key) = &n.put {
+                self.put(key, &n.data, n.stamp);
+            } else if let Some(id) = n.delete.as_deref().and_then(|k| k.strip_prefix(OPEN)) {
+                self.open.remove(&JobId::from(id));
+            }
+        }
+        self.epoch = Some(page.epoch);
+        Ok(())
+    }
+
+    fn put(&mut self, key: &str, data: &Value, stamp: Stamp) {
+        if let Some(id) = key.strip_prefix(OPEN) {
+            let pieces = pieces_of(data);
+            self.open
+                .insert(JobId::from(id), OpenNote { stamp, pieces });
+        }
+    }
+}
--- a/src/duties/front.rs
+++ b/src/duties/front.rs
@@ -104,7 +104,7 @@
     B: Buf,
 {
     match (path, method.as_str()) {
-        ("/healthz", "GET") => return health(node).await,
+        ("/healthz", "GET") => return health(node),
         ("/healthz" | "/checkin", m) if (path == "/healthz") || m != "POST" => {
             return Reply::error(405, "method not allowed");
         }
@@ -149,76 +149,80 @@
     body: &[u8],
     passed_on: bool,
 ) -> Reply {
-    let rest = match path.strip_prefix("/submissions") {
-        Some("") => {
-            if method != "POST" {
-                return Reply::error(405, "method not allowed");
-            }
-            let here = users::submit(node, body).await;
-            return or_sibling(node, here, method, path, body, passed_on, users::SUBMIT).await;
-        }
-        Some(rest) if rest.starts_with('/') => &rest[1..],
-        _ => return Reply::error(404, "no such path"),
+    let Some(rest) = path.strip_prefix("/submissions") else {
+        return Reply::error(404, "no such path");
     };
-    match rest.split_once('/') {
-        None => {
-            if method != "GET" {
-                return Reply::error(405, "method not allowed");
-            }
-            let here = users::poll(node, rest).await;
-            or_sibling(node, here, method, path, body, passed_on, users::POLL).await
-        }
-        Some((id, "withdraw")) => {
-            if method != "POST" {
-                return Reply::error(405, "method not allowed");
-            }
-            let here = users::cancel(node, id).await;
-            or_sibling(node, here, method, path, body, passed_on, users::SUBMIT).await
+    let time = if method == "GET" {
+        users::POLL
+    } else {
+        users::SUBMIT
+    };
+    let wanted = match rest {
+        "" => "POST",
+        r if !r.starts_with('/') => return Reply::error(404, "no such path"),
+        r => match r[1..].split_once('/') {
+            None => "GET",
+            Some((_, "withdraw")) => "POST",
+            Some(_) => return Reply::error(404, "no such path"),
+        },
+    };
+    if method != wanted {
+        return Reply::error(405, "method not allowed");
+    }
+    // Guards against users who wait while we find out, each time again, what we know already: that
+    // the state service does not serve us.
+    let lost = node.state.since_ok() >= STATE_FRESH;
+    if !lost {
+        let here = match rest.strip_prefix('/').map(|r| r.split_once('/')) {
+            None => users::submit(node, body).await,
+            Some(None) => users::poll(node, &rest[1..]).await,
+            Some(Some((id, _))) => users::cancel(node, id).await,
+        };
+        if here.status != 503 || node.state.since_ok() < STATE_FRESH {
+            return here;
         }
-        Some(_) => Reply::error(404, "no such path"),
     }
+    if passed_on {
+        return Reply::busy("the state service can't be reached");
+    }
+    through_sibling(node, method, path, body, time).await
 }
 
-/// A request that we can't serve because the state service refuses us goes through a sibling.
-async fn or_sibling(
+/// A request that we can't serve because the state service refuses us goes through a sibling that it
+/// serves; if we know of none, the user is told at once.
+async fn through_sibling(
     node: &Node,
-    here: Reply,
     method: &str,
     path: &str,
     body: &[u8],
-    passed_on: bool,
     time: Duration,
 ) -> Reply {
-    if here.status != 503 || passed_on || node.state.since_ok() < STATE_FRESH {
-        return here;
-    }
     let request = PeerRequest::Forward {
         method: method.into(),
         path: path.into(),
         body: body.to_vec(),
     };
-    for s in &node.siblings {
-        if let Some(PeerReply::Answer { status, body }) = s.ask(&request, time / 2).await {
+    let served = node.siblings_heard();
+    for (n, _) in served.into_iter().filter(|(_, ok)| *ok).take(2) {
+        let answer = node.siblings[n].ask(&request, time / 2).await;
+        if let Some(PeerReply::Answer { status, body }) = answer {
             if status != 503 {
                 return Reply { status, body };
             }
         }
     }
-    here
+    Reply::busy("the state service can't be reached")
 }
 
 /// Whether this controller can serve users, itself or through a sibling. In an outage common to
 /// all it stays healthy: that isn't the node's fault, and nobody else would do better.
-async fn health(node: &Node) -> Reply {
+fn health(node: &Node) -> Reply {
     let ok = || Reply::json(200, &serde_json::json!({ "healthy": true }));
     if node.state.since_ok() < STATE_FRESH {
         return ok();
     }
-    for s in &node.siblings {
-        let hello = s.ask(&PeerRequest::Hello, Duration::from_millis(350)).await;
-        if matches!(hello, Some(PeerReply::Hello { .. })) {
-            return ok();
-        }
+    if !node.siblings_heard().is_empty() {
+        return ok();
     }
     Reply::busy("neither the state service nor a sibling can be reached")
 }
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -39,7 +39,8 @@
 #[derive(Default)]
 pub struct LeaderCell {
     active: Mutex<Option<Active>>,
-    other: Mutex<Option<String>>,
+    /// As read at that moment: it counts only for so long.
+    other: Mutex<Option<(String, Millis)>>,
     wake: Notify,
     /// We handed over, and don't campaign before this.
     stand_back: Mutex<Option<Millis>>,
@@ -81,7 +82,11 @@
                 };
             }
         }
-        CheckIn::GoTo(lock(&self.other).clone())
+        // Guards against a controller that lost the state service and goes on sending workers to
+        // whoever led when it last knew.
+        let other = lock(&self.other).clone();
+        let fresh = other.filter(|(_, read)| now - *read < OTHER_FRESH);
+        CheckIn::GoTo(fresh.map(|(name, _)| name))
     }
 
     /// Counts of one job, if this controller leads.
@@ -92,9 +97,13 @@
     }
 }
 
+/// The name of the leader counts for this long after it was read.
+const OTHER_FRESH: Millis = Millis(3000);
+
 /// Campaigns, leads, and campaigns again, until stopped.
 pub async fn campaign(node: Arc<Node>) {
     while !node.stop.is_cancelled() {
+        let asked = node.now();
         match node.state.get(LEAD).await {
             Ok(item) => {
                 let held = item.as_ref().and_then(|i| {
@@ -103,7 +112,7 @@
                         .map(|r| r.host_name)
                 });
                 let mine = held.as_deref() == Some(&node.settings.platform.host_name);
-                *lock(&node.leader.other) = held.filter(|_| !mine);
+                *lock(&node.leader.other) = held.filter(|_| !mine).map(|name| (name, asked));
                 // A leader key with our own name is that of our predecessor on this host, whose
                 // process has ended: there is no need to wait for its lease.
                 let now = node.now();
--- a/src/duties/mod.rs
+++ b/src/duties/mod.rs
@@ -1,6 +1,7 @@
 //! The long-lived duties of one controller: all I/O around the decision core.
 
 pub mod catalog;
+pub mod copy;
 pub mod front;
 pub mod leader;
 pub mod peers;
@@ -29,10 +30,13 @@
     pub cloud: Client,
     pub workers: Client,
     pub siblings: Vec<PeerClient>,
+    /// What each sibling last said of itself, and when.
+    pub heard: Mutex<Vec<Option<peers::Heard>>>,
     pub leader: LeaderCell,
     pub rigs: Mutex<Vec<RigInfo>>,
     /// Task counts as the leader last told, for display.
     pub counts: Mutex<BTreeMap<JobId, (u32, u32)>>,
+    pub copy: copy::OpenCopy,
     pub finals: Mutex<users::FinalCache>,
     pub user_slots: tokio::sync::Semaphore,
     pub stop: CancellationToken,
@@ -101,9 +105,11 @@
         cloud: Client::new(connect, 2),
         workers: Client::new(connect, 1),
         siblings: p.siblings.iter().map(|s| PeerClient::new(s.addr)).collect(),
+        heard: Mutex::new(vec![None; p.siblings.len()]),
         leader: LeaderCell::default(),
         rigs: Mutex::new(Vec::new()),
         counts: Mutex::new(BTreeMap::new()),
+        copy: copy::OpenCopy::default(),
         finals: Mutex::new(users::FinalCache::default()),
         user_slots: tokio::sync::Semaphore::new(settings.operator.max_user_requests),
         stop: stop.clone(),
@@ -115,6 +121,8 @@
         tokio::spawn(front::serve(node.clone(), front_socket)),
         tokio::spawn(peers::serve(node.clone(), peer_socket)),
         tokio::spawn(catalog::keep(node.clone())),
+        tokio::spawn(copy::keep(node.clone())),
+        tokio::spawn(peers::look(node.clone())),
         tokio::spawn(leader::campaign(node.clone())),
     ];
     for d in duties {
--- a/src/duties/users.rs
+++ b/src/duties/users.rs
@@ -2,6 +2,7 @@
 //! What is answered is read from there, never from a memory that may be out of date; only final
 //! states, which can't change, are kept.
 
+use super::copy::OpenNote;
 use super::front::Reply;
 use super::state_client::{StateError, TxnOutcome};
 use super::{lock, time_of_day_ms, Node};
@@ -48,34 +49,31 @@
 
 /// What the state service says of a job.
 enum Found {
-    Open { stamp: Stamp, spec: Box<JobSpec> },
+    Open(OpenNote),
     Final { phase: JobPhase, pieces: u32 },
     Never,
 }
 
-/// Reads a job: first the open record, then the finish mark. Accepting writes the first, ending
-/// moves it to the second in one transaction, so a job that was ever accepted is found.
+/// Reads a job: first whether it is open, then its finish mark. Accepting writes the open record,
+/// ending moves it to the mark in one transaction, so a job that was ever accepted is found.
 async fn find(node: &Node, id: &JobId) -> Result<Found, StateError> {
     if let Some((phase, pieces)) = lock(&node.finals).get(id) {
         return Ok(Found::Final { phase, pieces });
     }
-    if let Some(item) = node.state.get(&open_key(id)).await? {
-        let record: OpenRecord =
-            serde_json::from_value(item.data).map_err(|_| StateError::Refused)?;
-        return Ok(Found::Open {
-            stamp: item.stamp,
-            spec: Box::new(record.spec),
-        });
+    if let Some(note) = node.copy.ask(id).await? {
+        return Ok(Found::Open(note));
     }
     match node.state.get(&final_key(id)).await? {
         None => Ok(Found::Never),
         Some(item) => {
-            let mark: FinalRecord =
-                serde_json::from_value(item.data).map_err(|_| StateError::Refused)?;
-            lock(&node.finals).put(id, mark.phase, mark.spec.pieces);
+            let mark: FinalRecord = serde_json::from_value(item.data).map_err(|e| {
+                tracing::error!(job = %id, error = %e, "a finish mark can't be read");
+                StateError::Refused
+            })?;
+            lock(&node.finals).put(id, mark.phase, mark.pieces);
             Ok(Found::Final {
                 phase: mark.phase,
-                pieces: mark.spec.pieces,
+                pieces: mark.pieces,
             })
         }
     }
@@ -103,7 +101,7 @@
 async fn if_known(node: &Node, id: Option<&JobId>, otherwise: Reply) -> Reply {
     let Some(id) = id else { return otherwise };
     match find(node, id).await {
-        Ok(Found::Open { .. }) => accepted(200, id, open_status(node, id).0),
+        Ok(Found::Open(_)) => accepted(200, id, open_status(node, id).0),
         Ok(Found::Final { phase, .. }) => accepted(200, id, phase),
         Ok(Found::Never) => otherwise,
         Err(_) => Reply::busy("the state service can't be reached"),
@@ -198,14 +196,14 @@
     };
     let found = tokio::time::timeout(POLL, find(node, &id)).await;
     match found {
-        Ok(Ok(Found::Open { spec, .. })) => {
+        Ok(Ok(Found::Open(note))) => {
             let (phase, done, running) = open_status(node, &id);
             Reply::json(
                 200,
                 &Status {
                     id: &id,
                     phase,
-                    done: done.min(spec.pieces),
+                    done: done.min(note.pieces),
                     running,
                 },
             )
@@ -235,16 +233,15 @@
     };
     let began = Instant::now();
     while began.elapsed() < SUBMIT / 2 {
-        let (stamp, spec) = match find(node, &id).await {
-            Ok(Found::Open { stamp, spec }) => (stamp, spec),
+        let OpenNote { stamp, pieces } = match find(node, &id).await {
+            Ok(Found::Open(note)) => note,
             Ok(Found::Final { phase, .. }) => return accepted(200, &id, phase),
             Ok(Found::Never) => return Reply::error(404, "no such job"),
             Err(_) => break,
         };
-        let pieces = spec.pieces;
         let mark = FinalRecord {
             phase: JobPhase::Cancelled,
-            spec: *spec,
+            pieces,
         };
         let Ok(data) = serde_json::to_value(&mark) else {
             break;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -264,7 +264,7 @@
         "rogue-done" => {
             let mark = FinalRecord {
                 phase: JobPhase::Done,
-                spec,
+                pieces: spec.pieces,
             };
             vec![
                 delete(open_key(&id)),
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -159,10 +159,9 @@
         let Some(open) = self.store.get(&open_key(id)) else {
             return;
         };
-        let spec = self.specs[id].clone();
         let mark = FinalRecord {
             phase: JobPhase::Cancelled,
-            spec,
+            pieces: self.specs[id].pieces,
         };
         let txn = Txn {
             guards: vec![Guard {
