--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -37,6 +37,7 @@
     /// When the forecast was last made, and when it was last looked what to return.
     looked: Millis,
     swept: Millis,
+    logged: Millis,
     calls: Budget,
 }
 
@@ -51,6 +52,7 @@
             suspected: BTreeMap::new(),
             looked: Millis(i64::MIN / 4),
             swept: Millis(i64::MIN / 4),
+            logged: Millis(i64::MIN / 4),
             calls: Budget::new(cloud_rps * 0.6, cloud_rps * 0.6),
         }
     }
@@ -79,6 +81,8 @@
 /// more than a placement does.
 const LOOK_EVERY: Millis = Millis(400);
 const LOOK_A_MACHINE: i64 = 1;
+/// A line about the machines is logged this often.
+const LOG_EVERY: Millis = Millis(10_000);
 /// What to return is looked for this often.
 const SWEEP_EVERY: Millis = Millis(500);
 /// Machines rented in one look: their boot is seen before more are asked for.
@@ -214,6 +218,57 @@
         }
     }
 
+    /// A line about what the machines are doing, every so often: where the money goes.
+    pub(crate) fn log_state(&mut self, now: Millis) {
+        if now - self.fleet.logged < LOG_EVERY {
+            return;
+        }
+        self.fleet.logged = now;
+        let (mut booting, mut up, mut idle, mut spot, mut drained) = (0, 0, 0, 0, 0);
+        let mut gpus = [0.0; 4];
+        for m in self.machines.values() {
+            booting += u32::from(m.standing == Standing::Booting);
+            spot += u32::from(m.spot);
+            drained += u32::from(m.drain || m.recall_at.is_some());
+            if m.standing != Standing::Up {
+                continue;
+            }
+            up += 1;
+            idle += u32::from(m.live == 0);
+            gpus[0] += self.capacity(&m.rig).gpus;
+            gpus[1] += m.free.gpus.max(0.0);
+            for s in m.going() {
+                let runs = s.running_since.is_some();
+                gpus[if runs { 2 } else { 3 }] += s.need.gpus;
+            }
+        }
+        let waiting: usize = self
+            .indexes
+            .waiting
+            .iter()
+            .filter_map(|id| self.jobs.get(id))
+            .map(|j| j.pending.len())
+            .sum();
+        tracing::info!(
+            up,
+            booting,
+            idle,
+            spot,
+            drained,
+            reserved = self.reserved.len(),
+            hires = self.fleet.hires.len(),
+            gpus = gpus[0],
+            free = gpus[1],
+            running = gpus[2],
+            starting = gpus[3],
+            jobs = self.jobs.len(),
+            waiting,
+            pages = self.writer.intents.sizes().0,
+            unwritten = self.writer.intents.sizes().1,
+            "state"
+        );
+    }
+
     fn repeat_hires(&mut self, now: Millis) {
         self.fleet
             .hires
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -307,6 +307,7 @@
             self.recheck_machines(now);
             self.recheck_ageing(now);
             self.forget_closed_jobs();
+            self.log_state(now);
             self.dirty = true;
         }
         self.stop_unwanted(now);
