--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -412,6 +412,13 @@
                 u.add(&Amount::of(&job.spec).times(f64::from(given)));
             }
         }
+        tracing::debug!(
+            unmet = unmet.len(),
+            tasks = unmet.iter().map(|u| u.count).sum::<u32>(),
+            bins = coming,
+            new = bins.len() - coming,
+            "forecast"
+        );
         let mut wanted: BTreeMap<Kind, u32> = BTreeMap::new();
         for b in bins.drain(coming..) {
             *wanted.entry(b.kind).or_default() += 1;
