--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -3,7 +3,7 @@
 use super::placement::Unmet;
 use super::{Core, Effect};
 use crate::bookkeeping::ledger::{Amount, Machine, Standing, Start};
-use crate::ids::{HostId, Image, JobId, Millis, Rig, Site};
+use crate::ids::{HostId, Image, Millis, Rig, Site};
 use crate::protocol::cloud::{CloudHost, CloudPhase};
 use crate::protocol::users::{JobSpec, Shape};
 use crate::transport::budget::Budget;
@@ -131,21 +131,6 @@
     }
 }
 
-/// How long tasks of each job should run: looked up once a look.
-#[derive(Default)]
-struct Estimates(BTreeMap<JobId, f64>);
-
-impl Estimates {
-    fn of(&mut self, core: &Core, id: &JobId) -> f64 {
-        if let Some(s) = self.0.get(id) {
-            return *s;
-        }
-        let s = core.jobs.get(id).map_or(0.0, |j| core.estimate_s(&j.spec));
-        self.0.insert(id.clone(), s);
-        s
-    }
-}
-
 /// A time in a heap, soonest first.
 #[derive(PartialEq)]
 struct Soon(f64);
@@ -312,7 +297,6 @@
     /// The machines there are and that are coming, with the room they will have and when.
     fn forecast(&self, now: Millis) -> Vec<Bin> {
         let mut bins: Vec<Bin> = Vec::new();
-        let mut runs = Estimates::default();
         for m in self.machines.values() {
             let kind = (m.rig.clone(), m.site.clone(), m.spot);
             let bin = |from_s, room| Bin {
@@ -337,14 +321,14 @@
                     b.class = self.reserved.get(&m.id).cloned();
                     b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
                     for s in m.going() {
-                        let run = runs.of(self, &s.piece.job);
+                        let Some(job) = self.jobs.get(&s.piece.job) else {
+                            continue;
+                        };
                         let rest = match s.running_since {
-                            Some(t) => run - (now - t).secs(),
-                            None => run + self.rest_of_fetch(now, m, s),
+                            Some(t) => self.rest_s(job, (now - t).secs()),
+                            None => self.estimate_of(job) + self.rest_of_fetch(now, m, s),
                         };
-                        // Past its estimate: it goes on for about as long again, in part.
-                        let rest = rest.max(run * 0.15).max(2.0) * DOUBT;
-                        b.freed.push((rest, s.need));
+                        b.freed.push((rest * DOUBT, s.need));
                     }
                     b.freed.sort_by(|a, b| a.0.total_cmp(&b.0));
                     bins.push(b);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -37,6 +37,11 @@
 const ORDINARY_S: f64 = 2.0;
 /// Seconds a whole empty machine is worse by than a full one: packs tasks, leaves whole machines.
 const EMPTY_S: f64 = 3.0;
+/// So many tasks of a job must be done to say how long the others run; they differ by up to this.
+const ALIKE: u32 = 3;
+const SPREAD: f64 = 1.4;
+/// A task past its estimate is taken to run on for this part of what it has run.
+const TAIL: f64 = 0.35;
 /// Machines a job has failed on are avoided up to this many; past it, it is the job that is bad.
 const AVOID: usize = 3;
 
@@ -141,9 +146,11 @@
         else {
             return;
         };
-        let Some(job) = self.jobs.get(&key.0.job) else {
+        let Some(job) = self.jobs.get_mut(&key.0.job) else {
             return;
         };
+        job.ran_s += (now - since).secs();
+        job.ran += 1;
         if job.spec.guess_s <= 0.0 {
             return;
         }
@@ -165,6 +172,26 @@
         spec.guess_s * factor
     }
 
+    /// How long a task of the job should run: tasks of a job are alike, so what was seen of those that
+    /// are done soon counts more than the guess.
+    pub(crate) fn estimate_of(&self, job: &Job) -> f64 {
+        (self.estimate_s(&job.spec) + job.ran_s) / f64::from(1 + job.ran)
+    }
+
+    /// How long a task that has run for so long should still run.
+    pub(crate) fn rest_s(&self, job: &Job, ran_s: f64) -> f64 {
+        let run = self.estimate_of(job);
+        let past = if job.ran >= ALIKE {
+            // Its like took about as long, so it can't be far from its end.
+            (run * SPREAD - ran_s) / 2.0
+        } else {
+            // Guards against a forecast in which whatever is past its guess is about to end: run times
+            // have long tails, and during a burst nothing was rented for thousands of tasks.
+            ran_s * TAIL
+        };
+        (run - ran_s).max(past).max(2.0)
+    }
+
     /// Whether a machine may be given new work at all.
     pub(crate) fn usable(&self, m: &Machine, now: Millis) -> bool {
         m.standing == Standing::Up
@@ -209,7 +236,7 @@
     /// Within a team that has more to do than its limit allows at once, large jobs go by the
     /// shortest estimate: the limit is given back sooner, and more of them start in time.
     fn urgency_of(&self, id: &JobId, job: &Job, now: Millis, tight: bool) -> (u8, Millis) {
-        let run = Millis::from_secs(self.estimate_s(&job.spec));
+        let run = Millis::from_secs(self.estimate_of(job));
         let start = self.policy.started_within(&job.spec.class);
         let start_by = start.map(|s| job.submitted + Millis::from_secs(s));
         let finish_by = self.graph.pressing(id).map(|due| due - run);
