--- /dev/null
+++ b/src/coordination/demand.rs
@@ -0,0 +1,191 @@
+//! Arrivals seen, class by class: what is to be expected next.
+
+use super::placement::Observed;
+use super::Core;
+use crate::ids::Millis;
+use crate::protocol::users::JobSpec;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What is kept on the state service for a new leader.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct Hints {
+    #[serde(default)]
+    observed: BTreeMap<String, Observed>,
+    /// Jobs a second, tasks a job, and the last job.
+    #[serde(default)]
+    demand: BTreeMap<String, (f64, f64, JobSpec)>,
+}
+
+/// What has been seen of one class.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    /// Jobs that arrived in each of the last stretches of time, by the stretch's number; the oldest
+    /// first, without gaps.
+    stretches: VecDeque<(i64, u32)>,
+    /// What a former leader had seen, and until when it is all that is known.
+    told: Option<(f64, Millis)>,
+    /// Tasks of a job, on average of late.
+    tasks: f64,
+    /// The last job: the next one is taken to look like it.
+    pub spec: JobSpec,
+}
+
+/// One stretch, and how many are remembered.
+const STRETCH: Millis = Millis(10_000);
+const STRETCHES: i64 = 12;
+/// How much the last job counts in the average size.
+const SIZE_NEW: f64 = 0.06;
+/// A stretch with so many more jobs than the others is a burst of its own.
+const OUTLIER: f64 = 3.0;
+
+impl Demand {
+    fn new(spec: &JobSpec) -> Demand {
+        Demand {
+            stretches: VecDeque::new(),
+            told: None,
+            tasks: f64::from(spec.pieces),
+            spec: spec.clone(),
+        }
+    }
+
+    fn stretch(at: Millis) -> i64 {
+        at.0.div_euclid(STRETCH.0)
+    }
+
+    fn note(&mut self, spec: &JobSpec, at: Millis) {
+        let n = Demand::stretch(at);
+        match self.stretches.iter_mut().find(|(m, _)| *m == n) {
+            Some((_, jobs)) => *jobs += 1,
+            None => {
+                // Jobs of before a takeover come in no order.
+                let place = self.stretches.partition_point(|(m, _)| *m < n);
+                self.stretches.insert(place, (n, 1));
+            }
+        }
+        while let (Some((first, _)), Some((last, _))) =
+            (self.stretches.front(), self.stretches.back())
+        {
+            if last - first <= STRETCHES {
+                break;
+            }
+            self.stretches.pop_front();
+        }
+        self.tasks += (f64::from(spec.pieces) - self.tasks) * SIZE_NEW;
+        self.spec = spec.clone();
+    }
+
+    /// Jobs to be expected each second. One stretch that stands out counts for nothing by itself (at
+    /// the start of a day, all that had gathered arrives at once); two in a row are a burst.
+    pub fn jobs_per_s(&self, now: Millis) -> f64 {
+        let now_n = Demand::stretch(now);
+        let seen = self.seen_per_s(now_n);
+        match self.told {
+            Some((told, at)) if now_n - Demand::stretch(at) <= STRETCHES / 2 => told.max(seen),
+            _ => seen,
+        }
+    }
+
+    fn seen_per_s(&self, now_n: i64) -> f64 {
+        let Some((first, _)) = self.stretches.front() else {
+            return 0.0;
+        };
+        let from = (*first).max(now_n - STRETCHES);
+        let mut counts: Vec<u32> = (from..now_n).map(|n| self.jobs_in(n)).collect();
+        let last_two = match counts.as_slice() {
+            [.., a, b] => f64::from(*a.min(b)),
+            _ => 0.0,
+        };
+        counts.sort_unstable();
+        let n = counts.len();
+        let Some(largest) = counts.pop() else {
+            return 0.0;
+        };
+        let rest: f64 = counts.iter().copied().map(f64::from).sum();
+        let largest = f64::from(largest);
+        let mean = if n > 1 { rest / (n - 1) as f64 } else { 0.0 };
+        let usual = if largest > OUTLIER * mean + OUTLIER {
+            mean
+        } else {
+            (rest + largest) / n as f64
+        };
+        usual.max(last_two) / STRETCH.secs()
+    }
+
+    fn jobs_in(&self, n: i64) -> u32 {
+        let found = self.stretches.iter().find(|(m, _)| *m == n);
+        found.map_or(0, |(_, jobs)| *jobs)
+    }
+
+    /// Tasks of a job, on average.
+    pub fn tasks_per_job(&self) -> f64 {
+        self.tasks
+    }
+}
+
+impl Core {
+    pub(crate) fn hints(&self, now: Millis) -> Hints {
+        let demand = self.demand.iter();
+        Hints {
+            observed: self.observed.clone(),
+            demand: demand
+                .map(|(c, d)| (c.clone(), (d.jobs_per_s(now), d.tasks, d.spec.clone())))
+                .collect(),
+        }
+    }
+
+    pub(crate) fn load_hints(&mut self, now: Millis, hints: Hints) {
+        self.observed = hints.observed;
+        for (class, (rate, tasks, spec)) in hints.demand {
+            let d = self
+                .demand
+                .entry(class)
+                .or_insert_with(|| Demand::new(&spec));
+            d.told = Some((rate, now));
+            d.tasks = tasks;
+        }
+    }
+
+    /// Notes the arrival of a job.
+    pub(crate) fn note_arrival(&mut self, spec: &JobSpec, at: Millis) {
+        let d = self
+            .demand
+            .entry(spec.class.clone())
+            .or_insert_with(|| Demand::new(spec));
+        d.note(spec, at);
+        self.writer.hints_news = true;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::protocol::users::parse_submission;
+
+    fn spec(pieces: u32) -> JobSpec {
+        let body = serde_json::json!({"ref":"wk-1","jobclass":"c","crew":"t","shape":"array",
+            "urgency":"normal","pieces":pieces,"cpus":1,"gpus":1,"ramGb":1,"bundle":"i","pullGb":1,
+            "together":false,"scatter":false,"loaners":true,"guessS":10,"markEveryS":0,"markCostS":0});
+        parse_submission(body.to_string().as_bytes()).unwrap()
+    }
+
+    #[test]
+    fn what_had_gathered_is_no_rate_but_a_burst_is() {
+        let mut d = Demand::new(&spec(10));
+        for _ in 0..100 {
+            d.note(&spec(10), Millis(500));
+        }
+        assert_eq!(d.jobs_per_s(Millis(12_000)), 0.0, "one heap says nothing");
+        for i in 0..110 {
+            d.note(&spec(10), Millis(10_000 + i * 1000));
+        }
+        let usual = d.jobs_per_s(Millis(120_000));
+        assert!((usual - 1.0).abs() < 0.15, "{usual}");
+        for i in 0..80 {
+            d.note(&spec(10), Millis(120_000 + i * 250));
+        }
+        let burst = d.jobs_per_s(Millis(140_000));
+        assert!((burst - 4.0).abs() < 0.2, "{burst}");
+        assert_eq!(d.jobs_per_s(Millis(300_000)), 0.0, "nothing for long");
+    }
+}
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,23 +2,22 @@
 
 use super::placement::Unmet;
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::{Amount, Machine, Standing, Start};
-use crate::ids::{HostId, Image, Millis, Rig, Site};
+use crate::bookkeeping::ledger::{Amount, Machine, Standing};
+use crate::ids::{HostId, Millis, Rig, Site};
 use crate::protocol::cloud::{CloudHost, CloudPhase};
-use crate::protocol::users::{JobSpec, Shape};
+use crate::protocol::users::JobSpec;
 use crate::transport::budget::Budget;
-use std::cmp::{Ordering, Reverse};
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What can be rented: type, zone and whether spot.
 pub type Kind = (Rig, Site, bool);
 
 /// A rental under way.
 #[derive(Debug, Clone)]
-struct Hire {
-    kind: Kind,
-    count: u32,
-    asked: Millis,
+pub(super) struct Hire {
+    pub(super) kind: Kind,
+    pub(super) count: u32,
+    pub(super) asked: Millis,
     /// None: an answer is awaited. Otherwise: asked again then, under the same name.
     again_at: Option<Millis>,
 }
@@ -26,10 +25,12 @@
 /// The fleet's memory.
 #[derive(Debug)]
 pub struct Fleet {
-    hires: BTreeMap<String, Hire>,
+    pub(super) hires: BTreeMap<String, Hire>,
     hired: u64,
     /// Refused for want of capacity: not asked again before, and the wait that led there.
     refused: BTreeMap<Kind, (Millis, Millis)>,
+    /// Idle machines that the last forecast had no use for.
+    spare: BTreeSet<HostId>,
     /// Returns that failed: not tried again before.
     return_after: Millis,
     /// Zones taken to be cut off, until then.
@@ -48,6 +49,7 @@
             hires: BTreeMap::new(),
             hired: 0,
             refused: BTreeMap::new(),
+            spare: BTreeSet::new(),
             return_after: Millis(0),
             suspected: BTreeMap::new(),
             looked: Millis(i64::MIN / 4),
@@ -68,15 +70,16 @@
 /// show up in the list and in their workers' reports.
 const HIRE_AGAIN: Millis = Millis(1_500);
 const HIRE_GIVEN_UP: Millis = Millis(90_000);
-/// A booting machine counts as coming for this many boot times, and is given up after that many
-/// (plus a fixed time, for types that boot in a moment).
-const COMING_BOOTS: f64 = 2.0;
+/// A booting machine is given up after this many boot times (plus a fixed time, for types that boot
+/// in a moment).
 const DEAD_BOOTS: f64 = 4.0;
 const DEAD_PLUS_S: f64 = 20.0;
 /// A machine being emptied is returned after this even if something on it doesn't end.
 const DRAIN_PATIENCE: Millis = Millis(20_000);
-/// Estimates of what runs are doubted by this much, in favour of a machine whose boot time is known.
-const DOUBT: f64 = 1.25;
+/// An idle machine that the forecast has no use for is kept for this long; one that it has, for so
+/// many times what it would take to have it again.
+const SPARE_S: f64 = 10.0;
+const WANTED: f64 = 3.0;
 /// The forecast is made at most this often, and less often the more machines there are: it costs
 /// more than a placement does.
 const LOOK_EVERY: Millis = Millis(400);
@@ -88,66 +91,8 @@
 /// Machines rented in one look: their boot is seen before more are asked for.
 const MOST_RENTED: usize = 400;
 
-/// A machine in the forecast: there, coming, or one that might be rented.
-struct Bin {
-    kind: Kind,
-    /// When it can take work at all.
-    from_s: f64,
-    room: Amount,
-    /// Room that tasks give back, and when; soonest first.
-    freed: Vec<(f64, Amount)>,
-    /// Images that are there, or will be.
-    images: Vec<Image>,
-    /// Stands by for this class only.
-    class: Option<String>,
-}
-
-impl Bin {
-    /// The soonest time by which so much is free.
-    fn soonest(&self, need: &Amount) -> f64 {
-        let mut room = self.room;
-        if need.fits(&room) {
-            return self.from_s;
-        }
-        for (t, amount) in &self.freed {
-            room.add(amount);
-            if need.fits(&room) {
-                return t.max(self.from_s);
-            }
-        }
-        f64::INFINITY
-    }
-
-    /// Takes the room from then on, and gives it back when the task has run.
-    fn take(&mut self, at: f64, need: &Amount, run_s: f64) {
-        let due = self.freed.partition_point(|(t, _)| *t <= at);
-        for (_, amount) in self.freed.drain(..due) {
-            self.room.add(&amount);
-        }
-        self.room.sub(need);
-        let end = at + run_s;
-        let place = self.freed.partition_point(|(t, _)| *t <= end);
-        self.freed.insert(place, (end, *need));
-    }
-}
-
-/// A time in a heap, soonest first.
-#[derive(PartialEq)]
-struct Soon(f64);
-impl Eq for Soon {}
-impl PartialOrd for Soon {
-    fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
-        Some(self.cmp(o))
-    }
-}
-impl Ord for Soon {
-    fn cmp(&self, o: &Self) -> Ordering {
-        self.0.total_cmp(&o.0)
-    }
-}
-
 impl Core {
-    fn boot_s(&self, rig: &Rig) -> f64 {
+    pub(crate) fn boot_s(&self, rig: &Rig) -> f64 {
         self.rigs.get(rig).map_or(30.0, |r| r.boot_s)
     }
 
@@ -196,10 +141,10 @@
     /// Returns what isn't needed or is given up, rents what is missing.
     pub(crate) fn size_fleet(&mut self, now: Millis, unmet: Vec<Unmet>) {
         self.repeat_hires(now);
-        let wanted = self.rent(now, &unmet);
+        self.rent(now, &unmet);
         if now - self.fleet.swept >= SWEEP_EVERY {
             self.fleet.swept = now;
-            self.return_machines(now, wanted);
+            self.return_machines(now);
         }
     }
 
@@ -283,257 +228,29 @@
         }
     }
 
-    /// Seconds until a start that doesn't run yet has its image.
-    fn rest_of_fetch(&self, now: Millis, m: &Machine, s: &Start) -> f64 {
-        let Some(spec) = self.jobs.get(&s.piece.job).map(|j| &j.spec) else {
-            return 0.0;
-        };
-        if m.has_image(&spec.image) {
-            return 0.0;
-        }
-        (self.fetch_s(&m.rig, spec.image_gb) - (now - s.since).secs()).max(0.0)
-    }
-
-    /// The machines there are and that are coming, with the room they will have and when.
-    fn forecast(&self, now: Millis) -> Vec<Bin> {
-        let mut bins: Vec<Bin> = Vec::new();
-        for m in self.machines.values() {
-            let kind = (m.rig.clone(), m.site.clone(), m.spot);
-            let bin = |from_s, room| Bin {
-                kind: kind.clone(),
-                from_s,
-                room,
-                freed: Vec::new(),
-                images: Vec::new(),
-                class: None,
-            };
-            match m.standing {
-                Standing::Booting if !m.drain => {
-                    let age = (now - m.since).secs();
-                    let boot = self.boot_s(&m.rig);
-                    if age < boot * COMING_BOOTS {
-                        let rest = (boot - age).max(boot * 0.1);
-                        bins.push(bin(rest, self.capacity(&m.rig)));
-                    }
-                }
-                Standing::Up if self.usable(m, now) => {
-                    let mut b = bin(0.0, m.free);
-                    b.class = self.reserved.get(&m.id).cloned();
-                    b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
-                    for s in m.going() {
-                        let Some(job) = self.jobs.get(&s.piece.job) else {
-                            continue;
-                        };
-                        let rest = match s.running_since {
-                            Some(t) => self.rest_s(job, (now - t).secs()),
-                            None => self.estimate_of(job) + self.rest_of_fetch(now, m, s),
-                        };
-                        b.freed.push((rest * DOUBT, s.need));
-                    }
-                    b.freed.sort_by(|a, b| a.0.total_cmp(&b.0));
-                    bins.push(b);
-                }
-                _ => {}
-            }
-        }
-        for h in self.fleet.hires.values() {
-            let rest = self.boot_s(&h.kind.0) - (now - h.asked).secs();
-            for _ in 0..h.count {
-                bins.push(Bin {
-                    kind: h.kind.clone(),
-                    from_s: rest.max(1.0),
-                    room: self.capacity(&h.kind.0),
-                    freed: Vec::new(),
-                    images: Vec::new(),
-                    class: None,
-                });
-            }
-        }
-        bins
-    }
-
-    /// Rents what makes waiting tasks start sooner: each task is given, in queue order, to the
-    /// machine on which it could start first, a new one included. True if something waits.
-    ///
-    /// Guards against renting for tasks that the machines there are will have taken long before a
-    /// new one is up: on a day of 58 rentals, 17 machines had never run a task.
-    fn rent(&mut self, now: Millis, unmet: &[Unmet]) -> bool {
-        if unmet.is_empty() && self.standby_missing.is_empty() {
-            return false;
-        }
+    /// Rents what makes waiting tasks start sooner, as the forecast says.
+    fn rent(&mut self, now: Millis, unmet: &[Unmet]) {
         let pause = LOOK_EVERY + Millis(LOOK_A_MACHINE * self.machines.len() as i64);
         if now - self.fleet.looked < pause {
-            return !unmet.is_empty();
+            return;
         }
         self.fleet.looked = now;
-        let mut zones: BTreeMap<Site, usize> = BTreeMap::new();
-        for m in self.machines.values() {
-            *zones.entry(m.site.clone()).or_default() += 1;
-        }
-        let mut bins = self.forecast(now);
-        let coming = bins.len();
-        let most = coming + MOST_RENTED;
-        let mut used = self.used.clone();
-        for (spec, n) in &self.standby_missing {
-            self.give(now, &mut bins, &mut zones, spec, *n, true, most);
-        }
-        let mut any = false;
-        for u in unmet {
-            let Some(job) = self.jobs.get(&u.job) else {
-                continue;
-            };
-            let left = u.count.min(self.headroom(&job.spec, job.team, &used));
-            if left == 0 || bins.len() >= most {
-                continue;
-            }
-            any = true;
-            let mut spec = job.spec.clone();
-            if spec.together && job.stands_together() && spec.site.is_none() {
-                spec.site = self.zone_for(now, &bins, &zones, &spec);
-            }
-            let given = self.give(now, &mut bins, &mut zones, &spec, left, false, most);
-            if let Some(u) = job.team.and_then(|t| used.get_mut(t.0)) {
-                u.add(&Amount::of(&job.spec).times(f64::from(given)));
-            }
-        }
+        let seen = self.look_ahead(now, unmet, MOST_RENTED);
         tracing::debug!(
             unmet = unmet.len(),
             tasks = unmet.iter().map(|u| u.count).sum::<u32>(),
-            bins = coming,
-            new = bins.len() - coming,
+            new = seen.rent.values().sum::<u32>(),
+            spare = seen.spare.len(),
             "forecast"
         );
-        let mut wanted: BTreeMap<Kind, u32> = BTreeMap::new();
-        for b in bins.drain(coming..) {
-            *wanted.entry(b.kind).or_default() += 1;
-        }
-        for (kind, mut count) in wanted {
+        self.fleet.spare = seen.spare;
+        for (kind, mut count) in seen.rent {
             while count > 0 && self.fleet.calls.take(now, 1.0) {
                 let part = count.min(MOST_PER_HIRE);
                 self.hire(now, kind.clone(), part);
                 count -= part;
             }
         }
-        any
-    }
-
-    /// The zone for a gang that must stay together: where most of it could start soon, if the rest
-    /// can be rented there; among equals the one with least machines.
-    fn zone_for(
-        &self,
-        now: Millis,
-        bins: &[Bin],
-        zones: &BTreeMap<Site, usize>,
-        spec: &JobSpec,
-    ) -> Option<Site> {
-        let need = Amount::of(spec);
-        let sites: BTreeSet<&Site> = self.rigs.values().flat_map(|r| &r.sites).collect();
-        let rank = |site: &Site| {
-            let there = bins
-                .iter()
-                .filter(|b| b.kind.1 == *site && Self::kind_allowed(spec, &b.kind))
-                .filter(|b| b.class.as_ref().is_none_or(|c| *c == spec.class))
-                .map(|b| need.count_in(&b.room, spec.pieces))
-                .sum::<u32>()
-                .min(spec.pieces);
-            let mut here = spec.clone();
-            here.site = Some(site.clone());
-            let rest = there >= spec.pieces || self.choose_kind(now, &here, 1, zones).is_some();
-            let machines = zones.get(site).copied().unwrap_or(0);
-            (rest, there, Reverse(machines))
-        };
-        sites.into_iter().max_by_key(|s| rank(s)).cloned()
-    }
-
-    /// Gives `n` like tasks, one by one, to the machine of the forecast on which each starts first; a
-    /// new one joins the forecast if it would be sooner, as long as there are fewer than `most`. Says
-    /// how many were given. `ready` asks for a machine that is free or coming, not for one that will
-    /// be free some time.
-    #[allow(clippy::too_many_arguments)]
-    fn give(
-        &self,
-        now: Millis,
-        bins: &mut Vec<Bin>,
-        zones: &mut BTreeMap<Site, usize>,
-        spec: &JobSpec,
-        n: u32,
-        ready: bool,
-        most: usize,
-    ) -> u32 {
-        let need = Amount::of(spec);
-        // Tasks of a gang run at once: none can follow another on the same room.
-        let run = if spec.shape == Shape::Gang && n > 1 {
-            f64::INFINITY
-        } else {
-            self.estimate_s(spec)
-        };
-        let bulk = self.bulk(spec);
-        let when = |b: &Bin| {
-            let cached = b.images.contains(&spec.image);
-            let wait = if cached {
-                0.0
-            } else {
-                self.fetch_s(&b.kind.0, spec.image_gb)
-            };
-            b.soonest(&need) + wait
-        };
-        let serves = |b: &Bin| {
-            // Small tasks will fill the gaps of a machine shared by several: a large task can't
-            // count on all of them ending.
-            Self::kind_allowed(spec, &b.kind)
-                && b.class.as_ref().is_none_or(|c| *c == spec.class)
-                && (!ready || need.fits(&b.room))
-                && (!bulk || b.freed.len() <= 1)
-        };
-        let mut soonest: BinaryHeap<Reverse<(Soon, usize)>> = bins
-            .iter()
-            .enumerate()
-            .filter(|(_, b)| serves(b))
-            .map(|(i, b)| Reverse((Soon(when(b)), i)))
-            .collect();
-        let choose = |left: u32, zones: &BTreeMap<Site, usize>| {
-            self.choose_kind(now, spec, left, zones).map(|kind| {
-                let boot = self.boot_s(&kind.0);
-                (boot + self.fetch_s(&kind.0, spec.image_gb), boot, kind)
-            })
-        };
-        let mut given = 0;
-        let mut new = choose(n, zones);
-        while given < n {
-            if bins.len() >= most {
-                new = None;
-            }
-            let best = soonest.pop().map(|Reverse((Soon(t), i))| (t, i));
-            let (at, i) = match (best, &new) {
-                (Some((t, i)), Some((sooner, ..))) if t <= *sooner => (t, i),
-                (back, Some((t, boot, kind))) => {
-                    let (t, boot, kind) = (*t, *boot, kind.clone());
-                    soonest.extend(back.map(|(t, i)| Reverse((Soon(t), i))));
-                    *zones.entry(kind.1.clone()).or_default() += 1;
-                    new = choose(n - given, zones);
-                    bins.push(Bin {
-                        room: self.capacity(&kind.0),
-                        kind,
-                        from_s: boot,
-                        freed: Vec::new(),
-                        images: vec![spec.image.clone()],
-                        class: None,
-                    });
-                    (t, bins.len() - 1)
-                }
-                (Some((t, i)), None) if t.is_finite() => (t, i),
-                _ => break,
-            };
-            if !bins[i].images.contains(&spec.image) {
-                bins[i].images.push(spec.image.clone());
-            }
-            bins[i].take(at, &need, run);
-            if serves(&bins[i]) {
-                soonest.push(Reverse((Soon(when(&bins[i])), i)));
-            }
-            given += 1;
-        }
-        given
     }
 
     fn hire(&mut self, now: Millis, kind: Kind, count: u32) {
@@ -568,7 +285,7 @@
 
     /// The cheapest kind for `left` tasks of the job, among those not refused lately; among equals
     /// the zone with least machines.
-    fn choose_kind(
+    pub(super) fn choose_kind(
         &self,
         now: Millis,
         spec: &JobSpec,
@@ -652,7 +369,7 @@
             .collect()
     }
 
-    fn return_machines(&mut self, now: Millis, wanted: bool) {
+    fn return_machines(&mut self, now: Millis) {
         let mut back: BTreeSet<HostId> = self.given_up(now);
         for m in self.machines.values() {
             if m.standing == Standing::Returning {
@@ -662,11 +379,16 @@
             let age = now - m.since;
             let dead_boot = m.standing == Standing::Booting
                 && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
-            let idle_s = self.renewal_s(m) * self.policy.operator.idle_boots;
+            // Idle and spare: returned soon. Otherwise kept for as long as it may be of use.
+            let spare = self.fleet.spare.contains(&m.id);
+            let keep_s = if spare {
+                SPARE_S.min(self.renewal_s(m) * self.policy.operator.idle_boots)
+            } else {
+                self.renewal_s(m) * self.policy.operator.idle_boots * WANTED
+            };
             let idle = m.standing == Standing::Up
-                && !wanted
                 && !self.reserved.contains_key(&m.id)
-                && m.idle_since.is_some_and(|t| (now - t).secs() > idle_s);
+                && m.idle_since.is_some_and(|t| (now - t).secs() > keep_s);
             let stuck = m.drain_since.is_some_and(|t| now - t > DRAIN_PATIENCE);
             if dead_boot || m.list_failed || (idle && !busy) || (m.drain && (!busy || stuck)) {
                 back.insert(m.id.clone());
--- /dev/null
+++ b/src/coordination/forecast.rs
@@ -0,0 +1,386 @@
+//! The forecast: on which machine each waiting task would start first, those included that are coming
+//! or might be rented; and the same for tasks that have not arrived yet, going by the arrivals seen.
+//! From it follows what to rent and which idle machines are of no use.
+//!
+//! Guards against renting for tasks that the machines there are will have taken long before a new one
+//! is up (on a day of 58 rentals, 17 machines had never run a task), and against renting too late for
+//! a burst, each of whose tasks by itself would not wait longer than for a new machine.
+
+use super::fleet::Kind;
+use super::placement::Unmet;
+use super::Core;
+use crate::bookkeeping::ledger::{Amount, Machine, Standing, Start};
+use crate::ids::{HostId, Image, Millis, Site};
+use crate::protocol::users::{JobSpec, Shape};
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+/// What the forecast says.
+pub(super) struct Seen {
+    /// Machines to rent.
+    pub rent: BTreeMap<Kind, u32>,
+    /// Idle machines that nothing was given to.
+    pub spare: BTreeSet<HostId>,
+}
+
+/// A machine in the forecast: there, coming, or one that might be rented.
+struct Bin {
+    kind: Kind,
+    /// The machine, if it is there and idle.
+    idle: Option<HostId>,
+    /// When it can take work at all.
+    from_s: f64,
+    room: Amount,
+    /// Room that tasks give back, and when; soonest first.
+    freed: Vec<(f64, Amount)>,
+    /// Images that are there, or will be.
+    images: Vec<Image>,
+    /// Stands by for this class only.
+    class: Option<String>,
+}
+
+impl Bin {
+    /// The soonest time by which so much is free.
+    fn soonest(&self, need: &Amount) -> f64 {
+        let mut room = self.room;
+        if need.fits(&room) {
+            return self.from_s;
+        }
+        for (t, amount) in &self.freed {
+            room.add(amount);
+            if need.fits(&room) {
+                return t.max(self.from_s);
+            }
+        }
+        f64::INFINITY
+    }
+
+    /// Takes the room from then on, and gives it back when the task has run.
+    fn take(&mut self, at: f64, need: &Amount, run_s: f64) {
+        let due = self.freed.partition_point(|(t, _)| *t <= at);
+        for (_, amount) in self.freed.drain(..due) {
+            self.room.add(&amount);
+        }
+        self.room.sub(need);
+        let end = at + run_s;
+        let place = self.freed.partition_point(|(t, _)| *t <= end);
+        self.freed.insert(place, (end, *need));
+        self.idle = None;
+    }
+}
+
+/// A time in a heap, soonest first; among like times, machines that aren't idle.
+#[derive(PartialEq)]
+struct Soon(f64, bool);
+impl Eq for Soon {}
+impl PartialOrd for Soon {
+    fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
+        Some(self.cmp(o))
+    }
+}
+impl Ord for Soon {
+    fn cmp(&self, o: &Self) -> Ordering {
+        self.0.total_cmp(&o.0).then(self.1.cmp(&o.1))
+    }
+}
+
+/// Like tasks to be given to machines.
+struct Ask<'a> {
+    spec: &'a JobSpec,
+    n: u32,
+    /// Only machines that are free or coming will do, not those that will be free some time.
+    ready: bool,
+    /// They have not arrived yet, but will then.
+    from_s: Option<f64>,
+}
+
+/// The forecast under way.
+struct Sheet {
+    bins: Vec<Bin>,
+    /// Machines in each zone.
+    zones: BTreeMap<Site, usize>,
+    /// No more bins than this.
+    most: usize,
+}
+
+/// A booting machine counts as coming for this many boot times.
+const COMING_BOOTS: f64 = 2.0;
+/// Estimates of what runs are doubted by this much, in favour of a machine whose boot time is known.
+const DOUBT: f64 = 1.25;
+/// Tasks to come are looked at in so many parts, each arriving together.
+const PARTS: u32 = 4;
+/// A task to come that would wait for less than this rents nothing.
+const PATIENCE_S: f64 = 3.0;
+
+impl Core {
+    /// Looks ahead with what waits, in queue order, and what is to come; at most so many machines are
+    /// rented.
+    pub(super) fn look_ahead(&self, now: Millis, unmet: &[Unmet], most: usize) -> Seen {
+        let mut zones: BTreeMap<Site, usize> = BTreeMap::new();
+        for m in self.machines.values() {
+            *zones.entry(m.site.clone()).or_default() += 1;
+        }
+        let bins = self.forecast(now);
+        let coming = bins.len();
+        let mut sheet = Sheet {
+            most: coming + most,
+            bins,
+            zones,
+        };
+        for (spec, n) in &self.standby_missing {
+            let ask = Ask {
+                spec,
+                n: *n,
+                ready: true,
+                from_s: None,
+            };
+            self.give(now, &mut sheet, &ask);
+        }
+        self.give_waiting(now, unmet, &mut sheet);
+        self.give_to_come(now, &mut sheet);
+        let mut rent: BTreeMap<Kind, u32> = BTreeMap::new();
+        for b in sheet.bins.drain(coming..) {
+            *rent.entry(b.kind).or_default() += 1;
+        }
+        let spare = sheet.bins.into_iter().filter_map(|b| b.idle).collect();
+        Seen { rent, spare }
+    }
+
+    fn give_waiting(&self, now: Millis, unmet: &[Unmet], sheet: &mut Sheet) {
+        let mut used = self.used.clone();
+        for u in unmet {
+            let Some(job) = self.jobs.get(&u.job) else {
+                continue;
+            };
+            let left = u.count.min(self.headroom(&job.spec, job.team, &used));
+            if left == 0 || sheet.bins.len() >= sheet.most {
+                continue;
+            }
+            let mut spec = job.spec.clone();
+            if spec.together && job.stands_together() && spec.site.is_none() {
+                spec.site = self.zone_for(now, sheet, &spec);
+            }
+            let ask = Ask {
+                spec: &spec,
+                n: left,
+                ready: false,
+                from_s: None,
+            };
+            let given = self.give(now, sheet, &ask);
+            if let Some(u) = job.team.and_then(|t| used.get_mut(t.0)) {
+                u.add(&Amount::of(&job.spec).times(f64::from(given)));
+            }
+        }
+    }
+
+    /// What should arrive in the time that it takes to have another machine with an image.
+    fn give_to_come(&self, now: Millis, sheet: &mut Sheet) {
+        for d in self.demand.values() {
+            let Some(kind) = self.choose_kind(now, &d.spec, u32::MAX, &sheet.zones) else {
+                continue;
+            };
+            let ahead = self.boot_s(&kind.0) + self.fetch_s(&kind.0, d.spec.image_gb);
+            let jobs = d.jobs_per_s(now) * ahead;
+            // A little more, for chance.
+            let tasks = (jobs + jobs.sqrt().min(jobs)) * d.tasks_per_job();
+            let mut spec = d.spec.clone();
+            spec.shape = Shape::Array;
+            spec.together = false;
+            let part = (tasks / f64::from(PARTS)).round() as u32;
+            for i in 0..PARTS {
+                let ask = Ask {
+                    spec: &spec,
+                    n: part,
+                    ready: false,
+                    from_s: Some(ahead * (f64::from(i) + 0.5) / f64::from(PARTS)),
+                };
+                self.give(now, sheet, &ask);
+            }
+        }
+    }
+
+    /// Seconds until a start that doesn't run yet has its image.
+    fn rest_of_fetch(&self, now: Millis, m: &Machine, s: &Start) -> f64 {
+        let Some(spec) = self.jobs.get(&s.piece.job).map(|j| &j.spec) else {
+            return 0.0;
+        };
+        if m.has_image(&spec.image) {
+            return 0.0;
+        }
+        (self.fetch_s(&m.rig, spec.image_gb) - (now - s.since).secs()).max(0.0)
+    }
+
+    /// The machines there are and that are coming, with the room they will have and when.
+    fn forecast(&self, now: Millis) -> Vec<Bin> {
+        let mut bins: Vec<Bin> = Vec::new();
+        for m in self.machines.values() {
+            let kind = (m.rig.clone(), m.site.clone(), m.spot);
+            let bin = |from_s, room| Bin {
+                kind: kind.clone(),
+                idle: None,
+                from_s,
+                room,
+                freed: Vec::new(),
+                images: Vec::new(),
+                class: None,
+            };
+            match m.standing {
+                Standing::Booting if !m.drain => {
+                    let age = (now - m.since).secs();
+                    let boot = self.boot_s(&m.rig);
+                    if age < boot * COMING_BOOTS {
+                        let rest = (boot - age).max(boot * 0.1);
+                        bins.push(bin(rest, self.capacity(&m.rig)));
+                    }
+                }
+                Standing::Up if self.usable(m, now) => {
+                    let mut b = bin(0.0, m.free);
+                    b.idle = (m.live == 0).then(|| m.id.clone());
+                    b.class = self.reserved.get(&m.id).cloned();
+                    b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
+                    for s in m.going() {
+                        let Some(job) = self.jobs.get(&s.piece.job) else {
+                            continue;
+                        };
+                        let rest = match s.running_since {
+                            Some(t) => self.rest_s(job, (now - t).secs()),
+                            None => self.estimate_of(job) + self.rest_of_fetch(now, m, s),
+                        };
+                        b.freed.push((rest * DOUBT, s.need));
+                    }
+                    b.freed.sort_by(|a, b| a.0.total_cmp(&b.0));
+                    bins.push(b);
+                }
+                _ => {}
+            }
+        }
+        for h in self.fleet.hires.values() {
+            let rest = self.boot_s(&h.kind.0) - (now - h.asked).secs();
+            for _ in 0..h.count {
+                bins.push(Bin {
+                    kind: h.kind.clone(),
+                    idle: None,
+                    from_s: rest.max(1.0),
+                    room: self.capacity(&h.kind.0),
+                    freed: Vec::new(),
+                    images: Vec::new(),
+                    class: None,
+                });
+            }
+        }
+        bins
+    }
+
+    /// The zone for a gang that must stay together: where most of it could start soon, if the rest
+    /// can be rented there; among equals the one with least machines.
+    fn zone_for(&self, now: Millis, sheet: &Sheet, spec: &JobSpec) -> Option<Site> {
+        let need = Amount::of(spec);
+        let sites: BTreeSet<&Site> = self.rigs.values().flat_map(|r| &r.sites).collect();
+        let rank = |site: &Site| {
+            let there = sheet
+                .bins
+                .iter()
+                .filter(|b| b.kind.1 == *site && Self::kind_allowed(spec, &b.kind))
+                .filter(|b| b.class.as_ref().is_none_or(|c| *c == spec.class))
+                .map(|b| need.count_in(&b.room, spec.pieces))
+                .sum::<u32>()
+                .min(spec.pieces);
+            let mut here = spec.clone();
+            here.site = Some(site.clone());
+            let rest =
+                there >= spec.pieces || self.choose_kind(now, &here, 1, &sheet.zones).is_some();
+            let machines = sheet.zones.get(site).copied().unwrap_or(0);
+            (rest, there, Reverse(machines))
+        };
+        sites.into_iter().max_by_key(|s| rank(s)).cloned()
+    }
+
+    /// Gives like tasks, one by one, to the machine of the forecast on which each starts first; a new
+    /// one joins the forecast if it would be sooner. Says how many were given.
+    fn give(&self, now: Millis, sheet: &mut Sheet, ask: &Ask) -> u32 {
+        let spec = ask.spec;
+        let need = Amount::of(spec);
+        // Tasks of a gang run at once: none can follow another on the same room.
+        let run = if spec.shape == Shape::Gang && ask.n > 1 {
+            f64::INFINITY
+        } else {
+            self.estimate_s(spec)
+        };
+        let bulk = self.bulk(spec);
+        // Which image a task to come will need isn't known.
+        let fetch = |b: &Bin| {
+            if ask.from_s.is_some() || b.images.contains(&spec.image) {
+                0.0
+            } else {
+                self.fetch_s(&b.kind.0, spec.image_gb)
+            }
+        };
+        let when = |b: &Bin| {
+            let t = b.soonest(&need) + fetch(b);
+            Soon(t.max(ask.from_s.unwrap_or(0.0)), b.idle.is_some())
+        };
+        let serves = |b: &Bin| {
+            // Small tasks will fill the gaps of a machine shared by several: a large task can't
+            // count on all of them ending.
+            Self::kind_allowed(spec, &b.kind)
+                && b.class.as_ref().is_none_or(|c| *c == spec.class)
+                && (!ask.ready || need.fits(&b.room))
+                && (!bulk || b.freed.len() <= 1)
+        };
+        let mut soonest: BinaryHeap<Reverse<(Soon, usize)>> = sheet
+            .bins
+            .iter()
+            .enumerate()
+            .filter(|(_, b)| serves(b))
+            .map(|(i, b)| Reverse((when(b), i)))
+            .collect();
+        let choose =
+            |left: u32, zones: &BTreeMap<Site, usize>| self.choose_kind(now, spec, left, zones);
+        let mut given = 0;
+        let mut new = choose(ask.n, &sheet.zones);
+        while given < ask.n {
+            if sheet.bins.len() >= sheet.most {
+                new = None;
+            }
+            let best = soonest.pop().map(|Reverse(b)| b);
+            let sooner = new.as_ref().map(|kind| {
+                let boot = self.boot_s(&kind.0);
+                match ask.from_s {
+                    None => boot + self.fetch_s(&kind.0, spec.image_gb),
+                    Some(from) => boot.max(from + PATIENCE_S),
+                }
+            });
+            let (at, i) = match (best, sooner) {
+                (Some((Soon(t, _), i)), Some(sooner)) if t <= sooner => (t, i),
+                (Some((Soon(t, _), i)), None) if t.is_finite() => (t, i),
+                (back, Some(t)) => {
+                    soonest.extend(back.map(Reverse));
+                    let Some(kind) = new.take() else { break };
+                    *sheet.zones.entry(kind.1.clone()).or_default() += 1;
+                    new = choose(ask.n - given, &sheet.zones);
+                    sheet.bins.push(Bin {
+                        room: self.capacity(&kind.0),
+                        idle: None,
+                        from_s: self.boot_s(&kind.0),
+                        kind,
+                        freed: Vec::new(),
+                        images: vec![spec.image.clone()],
+                        class: None,
+                    });
+                    (t, sheet.bins.len() - 1)
+                }
+                _ => break,
+            };
+            let b = &mut sheet.bins[i];
+            if ask.from_s.is_none() && !b.images.contains(&spec.image) {
+                b.images.push(spec.image.clone());
+            }
+            b.take(at, &need, run);
+            if serves(b) {
+                soonest.push(Reverse((when(b), i)));
+            }
+            given += 1;
+        }
+        given
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,7 +3,9 @@
 //! out, and check the leader's authority again as each one leaves.
 
 pub mod ageing;
+pub mod demand;
 pub mod fleet;
+pub mod forecast;
 pub mod graph;
 pub mod leadership;
 pub mod placement;
@@ -223,7 +225,7 @@
     pub(crate) observed: BTreeMap<String, placement::Observed>,
     /// Arrivals of classes that want to start soon, the machines that stand by for them, and how
     /// many are missing.
-    pub(crate) demand: BTreeMap<String, standby::Demand>,
+    pub(crate) demand: BTreeMap<String, demand::Demand>,
     pub(crate) reserved: BTreeMap<HostId, String>,
     pub(crate) standby_missing: Vec<(JobSpec, u32)>,
 }
