--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -78,7 +78,7 @@
 const DRAIN_PATIENCE: Millis = Millis(20_000);
 /// An idle machine that the forecast has no use for is kept for this long; one that it has, for so
 /// many times what it would take to have it again.
-const SPARE_S: f64 = 10.0;
+const SPARE_S: f64 = 20.0;
 const WANTED: f64 = 3.0;
 /// The forecast is made at most this often, and less often the more machines there are: it costs
 /// more than a placement does.
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -137,7 +137,9 @@
             self.give(now, &mut sheet, &ask);
         }
         self.give_waiting(now, unmet, &mut sheet);
-        self.give_to_come(now, &mut sheet);
+        self.give_to_come(now, &mut sheet, true);
+        sheet.most = 0;
+        self.give_to_come(now, &mut sheet, false);
         let mut rent: BTreeMap<Kind, u32> = BTreeMap::new();
         for b in sheet.bins.drain(coming..) {
             *rent.entry(b.kind).or_default() += 1;
@@ -174,15 +176,20 @@
     }
 
     /// What should arrive in the time that it takes to have another machine with an image.
-    fn give_to_come(&self, now: Millis, sheet: &mut Sheet) {
+    fn give_to_come(&self, now: Millis, sheet: &mut Sheet, rent: bool) {
         for d in self.demand.values() {
             let Some(kind) = self.choose_kind(now, &d.spec, u32::MAX, &sheet.zones) else {
                 continue;
             };
             let ahead = self.boot_s(&kind.0) + self.fetch_s(&kind.0, d.spec.image_gb);
             let jobs = d.jobs_per_s(now) * ahead;
-            // A little more, for chance.
-            let tasks = (jobs + jobs.sqrt().min(jobs)) * d.tasks_per_job();
+            // Machines are rented for what is to be expected, and kept for a little more.
+            let jobs = if rent {
+                jobs
+            } else {
+                jobs.sqrt().min(jobs)
+            };
+            let tasks = jobs * d.tasks_per_job();
             let mut spec = d.spec.clone();
             spec.shape = Shape::Array;
             spec.together = false;
