--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -27,13 +27,15 @@
     told: Option<(f64, Millis)>,
     /// Tasks of a job, on average of late.
     tasks: f64,
-    /// The last job: the next one is taken to look like it.
-    pub spec: JobSpec,
+    /// The last jobs: the next ones are taken to look like them.
+    last: VecDeque<JobSpec>,
 }
 
 /// One stretch, and how many are remembered.
 const STRETCH: Millis = Millis(10_000);
 const STRETCHES: i64 = 12;
+/// Jobs remembered for what they need.
+const LAST: usize = 12;
 /// How much the last job counts in the average size.
 const SIZE_NEW: f64 = 0.06;
 /// A stretch with so many more jobs than the others is a burst of its own.
@@ -45,7 +47,7 @@
             stretches: VecDeque::new(),
             told: None,
             tasks: f64::from(spec.pieces),
-            spec: spec.clone(),
+            last: VecDeque::from([spec.clone()]),
         }
     }
 
@@ -72,7 +74,15 @@
             self.stretches.pop_front();
         }
         self.tasks += (f64::from(spec.pieces) - self.tasks) * SIZE_NEW;
-        self.spec = spec.clone();
+        self.last.push_back(spec.clone());
+        if self.last.len() > LAST {
+            self.last.pop_front();
+        }
+    }
+
+    /// The last jobs, of which there is always one.
+    pub fn last(&self) -> impl ExactSizeIterator<Item = &JobSpec> {
+        self.last.iter()
     }
 
     /// Jobs to be expected each second. One stretch that stands out counts for nothing by itself (at
@@ -129,7 +139,10 @@
         Hints {
             observed: self.observed.clone(),
             demand: demand
-                .map(|(c, d)| (c.clone(), (d.jobs_per_s(now), d.tasks, d.spec.clone())))
+                .filter_map(|(c, d)| {
+                    let told = (d.jobs_per_s(now), d.tasks, d.last.back()?.clone());
+                    Some((c.clone(), told))
+                })
                 .collect(),
         }
     }
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -7,7 +7,7 @@
 //! a burst, each of whose tasks by itself would not wait longer than for a new machine.
 
 use super::fleet::Kind;
-use super::placement::Unmet;
+use super::placement::{emptiness, Unmet};
 use super::Core;
 use crate::bookkeeping::ledger::{Amount, Machine, Standing, Start};
 use crate::ids::{HostId, Image, Millis, Site};
@@ -19,15 +19,19 @@
 pub(super) struct Seen {
     /// Machines to rent.
     pub rent: BTreeMap<Kind, u32>,
-    /// Idle machines that nothing was given to.
+    /// Machines that nothing was given to: idle ones, and those that do little.
     pub spare: BTreeSet<HostId>,
+    pub thin: BTreeSet<HostId>,
 }
 
 /// A machine in the forecast: there, coming, or one that might be rented.
 struct Bin {
     kind: Kind,
-    /// The machine, if it is there and idle.
-    idle: Option<HostId>,
+    /// The machine, if it is there and nothing has been given to it.
+    unused: Option<HostId>,
+    idle: bool,
+    /// The part of it that is free: fuller ones are filled first.
+    empty: f64,
     /// When it can take work at all.
     from_s: f64,
     room: Amount,
@@ -65,13 +69,13 @@
         let end = at + run_s;
         let place = self.freed.partition_point(|(t, _)| *t <= end);
         self.freed.insert(place, (end, *need));
-        self.idle = None;
+        self.unused = None;
     }
 }
 
-/// A time in a heap, soonest first; among like times, machines that aren't idle.
+/// A time in a heap, soonest first; among like times, the fullest machine.
 #[derive(PartialEq)]
-struct Soon(f64, bool);
+struct Soon(f64, f64);
 impl Eq for Soon {}
 impl PartialOrd for Soon {
     fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
@@ -80,7 +84,7 @@
 }
 impl Ord for Soon {
     fn cmp(&self, o: &Self) -> Ordering {
-        self.0.total_cmp(&o.0).then(self.1.cmp(&o.1))
+        self.0.total_cmp(&o.0).then(self.1.total_cmp(&o.1))
     }
 }
 
@@ -107,8 +111,6 @@
 const COMING_BOOTS: f64 = 2.0;
 /// Estimates of what runs are doubted by this much, in favour of a machine whose boot time is known.
 const DOUBT: f64 = 1.25;
-/// Tasks to come are looked at in so many parts, each arriving together.
-const PARTS: u32 = 4;
 /// A task to come that would wait for less than this rents nothing.
 const PATIENCE_S: f64 = 3.0;
 
@@ -144,8 +146,17 @@
         for b in sheet.bins.drain(coming..) {
             *rent.entry(b.kind).or_default() += 1;
         }
-        let spare = sheet.bins.into_iter().filter_map(|b| b.idle).collect();
-        Seen { rent, spare }
+        let (mut spare, mut thin) = (BTreeSet::new(), BTreeSet::new());
+        for b in sheet.bins {
+            if let Some(host) = b.unused {
+                if b.idle {
+                    spare.insert(host);
+                } else {
+                    thin.insert(host);
+                }
+            }
+        }
+        Seen { rent, spare, thin }
     }
 
     fn give_waiting(&self, now: Millis, unmet: &[Unmet], sheet: &mut Sheet) {
@@ -178,28 +189,24 @@
     /// What should arrive in the time that it takes to have another machine with an image.
     fn give_to_come(&self, now: Millis, sheet: &mut Sheet, rent: bool) {
         for d in self.demand.values() {
-            let Some(kind) = self.choose_kind(now, &d.spec, u32::MAX, &sheet.zones) else {
-                continue;
-            };
-            let ahead = self.boot_s(&kind.0) + self.fetch_s(&kind.0, d.spec.image_gb);
-            let jobs = d.jobs_per_s(now) * ahead;
-            // Machines are rented for what is to be expected, and kept for a little more.
-            let jobs = if rent {
-                jobs
-            } else {
-                jobs.sqrt().min(jobs)
-            };
-            let tasks = jobs * d.tasks_per_job();
-            let mut spec = d.spec.clone();
-            spec.shape = Shape::Array;
-            spec.together = false;
-            let part = (tasks / f64::from(PARTS)).round() as u32;
-            for i in 0..PARTS {
+            let jobs_per_s = d.jobs_per_s(now);
+            let parts = d.last().len() as f64;
+            for (i, like) in d.last().enumerate() {
+                let Some(kind) = self.choose_kind(now, like, u32::MAX, &sheet.zones) else {
+                    continue;
+                };
+                let ahead = self.boot_s(&kind.0) + self.fetch_s(&kind.0, like.image_gb);
+                let jobs = jobs_per_s * ahead;
+                // Machines are rented for what is to be expected, and kept for a little more.
+                let jobs = if rent { jobs } else { jobs.sqrt().min(jobs) };
+                let mut spec = like.clone();
+                spec.shape = Shape::Array;
+                spec.together = false;
                 let ask = Ask {
                     spec: &spec,
-                    n: part,
+                    n: (jobs * d.tasks_per_job() / parts).round() as u32,
                     ready: false,
-                    from_s: Some(ahead * (f64::from(i) + 0.5) / f64::from(PARTS)),
+                    from_s: Some(ahead * (i as f64 + 0.5) / parts),
                 };
                 self.give(now, sheet, &ask);
             }
@@ -224,7 +231,9 @@
             let kind = (m.rig.clone(), m.site.clone(), m.spot);
             let bin = |from_s, room| Bin {
                 kind: kind.clone(),
-                idle: None,
+                unused: None,
+                idle: false,
+                empty: 1.0,
                 from_s,
                 room,
                 freed: Vec::new(),
@@ -242,7 +251,9 @@
                 }
                 Standing::Up if self.usable(m, now) => {
                     let mut b = bin(0.0, m.free);
-                    b.idle = (m.live == 0).then(|| m.id.clone());
+                    b.unused = Some(m.id.clone());
+                    b.idle = m.live == 0;
+                    b.empty = emptiness(&m.free, &self.capacity(&m.rig));
                     b.class = self.reserved.get(&m.id).cloned();
                     b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
                     for s in m.going() {
@@ -266,7 +277,9 @@
             for _ in 0..h.count {
                 bins.push(Bin {
                     kind: h.kind.clone(),
-                    idle: None,
+                    unused: None,
+                    idle: false,
+                    empty: 1.0,
                     from_s: rest.max(1.0),
                     room: self.capacity(&h.kind.0),
                     freed: Vec::new(),
@@ -314,17 +327,16 @@
             self.estimate_s(spec)
         };
         let bulk = self.bulk(spec);
-        // Which image a task to come will need isn't known.
         let fetch = |b: &Bin| {
-            if ask.from_s.is_some() || b.images.contains(&spec.image) {
+            if b.images.contains(&spec.image) {
                 0.0
             } else {
                 self.fetch_s(&b.kind.0, spec.image_gb)
             }
         };
         let when = |b: &Bin| {
-            let t = b.soonest(&need) + fetch(b);
-            Soon(t.max(ask.from_s.unwrap_or(0.0)), b.idle.is_some())
+            let t = b.soonest(&need).max(ask.from_s.unwrap_or(0.0));
+            Soon(t + fetch(b), b.empty)
         };
         let serves = |b: &Bin| {
             // Small tasks will fill the gaps of a machine shared by several: a large task can't
@@ -352,10 +364,8 @@
             let best = soonest.pop().map(|Reverse(b)| b);
             let sooner = new.as_ref().map(|kind| {
                 let boot = self.boot_s(&kind.0);
-                match ask.from_s {
-                    None => boot + self.fetch_s(&kind.0, spec.image_gb),
-                    Some(from) => boot.max(from + PATIENCE_S),
-                }
+                let from = ask.from_s.map_or(0.0, |t| t + PATIENCE_S);
+                boot.max(from) + self.fetch_s(&kind.0, spec.image_gb)
             });
             let (at, i) = match (best, sooner) {
                 (Some((Soon(t, _), i)), Some(sooner)) if t <= sooner => (t, i),
@@ -367,7 +377,9 @@
                     new = choose(ask.n - given, &sheet.zones);
                     sheet.bins.push(Bin {
                         room: self.capacity(&kind.0),
-                        idle: None,
+                        unused: None,
+                        idle: false,
+                        empty: 1.0,
                         from_s: self.boot_s(&kind.0),
                         kind,
                         freed: Vec::new(),
@@ -379,7 +391,7 @@
                 _ => break,
             };
             let b = &mut sheet.bins[i];
-            if ask.from_s.is_none() && !b.images.contains(&spec.image) {
+            if !b.images.contains(&spec.image) {
                 b.images.push(spec.image.clone());
             }
             b.take(at, &need, run);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -131,7 +131,7 @@
 }
 
 /// The larger part of a machine that is free.
-fn emptiness(room: &Amount, whole: &Amount) -> f64 {
+pub(super) fn emptiness(room: &Amount, whole: &Amount) -> f64 {
     let part = |free: f64, all: f64| if all > 0.0 { free / all } else { 0.0 };
     part(room.gpus, whole.gpus).max(part(room.cpus, whole.cpus))
 }
--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -16,15 +16,18 @@
             let Some(within) = self.policy.started_within(class) else {
                 continue;
             };
-            let need = Amount::of(&d.spec);
+            let Some(spec) = d.last().last() else {
+                continue;
+            };
+            let need = Amount::of(spec);
             let soonest = self
                 .rigs
                 .values()
-                .filter(|r| d.spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name)))
+                .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name)))
                 .filter(|r| need.fits(&self.capacity(&r.name)))
-                .map(|r| r.boot_s + d.spec.image_gb / r.fetch_gb_per_s.max(0.01))
+                .map(|r| r.boot_s + spec.image_gb / r.fetch_gb_per_s.max(0.01))
                 .fold(f64::INFINITY, f64::min);
-            if !soonest.is_finite() || soonest <= within || !self.bulk(&d.spec) {
+            if !soonest.is_finite() || soonest <= within || !self.bulk(spec) {
                 continue;
             }
             let jobs = d.jobs_per_s(now) * soonest;
@@ -32,9 +35,9 @@
                 continue;
             }
             let n = ((jobs + 0.5 * jobs.sqrt()) * d.tasks_per_job()).ceil() as u32;
-            let n = n.min(self.headroom(&d.spec, self.team_of(&d.spec), &self.used));
+            let n = n.min(self.headroom(spec, self.team_of(spec), &self.used));
             if n > 0 {
-                wanted.push((d.spec.clone(), n));
+                wanted.push((spec.clone(), n));
             }
         }
         wanted
