--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -268,6 +268,7 @@
         }
         let was = before.map(|b| b.phase);
         if p.phase == PiecePhase::Running && was != Some(PiecePhase::Running) {
+            tracing::debug!(piece = %p.piece, host = %host, "runs");
             self.note_image(now, host, &p.piece.job);
         }
         if p.phase == PiecePhase::Ended && was != Some(PiecePhase::Ended) {
