--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -119,7 +119,9 @@
         } else {
             (rest + largest) / n as f64
         };
-        usual.max(last_two) / STRETCH.secs()
+        // Two stretches well above what chance makes of the usual.
+        let burst = last_two > usual + 2.0 * usual.sqrt() + 1.0;
+        (if burst { last_two } else { usual }) / STRETCH.secs()
     }
 
     fn jobs_in(&self, n: i64) -> u32 {
