--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -244,7 +244,6 @@
             "forecast"
         );
         self.fleet.spare = seen.spare;
-        self.gather(now, &seen.thin);
         for (kind, mut count) in seen.rent {
             while count > 0 && self.fleet.calls.take(now, 1.0) {
                 let part = count.min(MOST_PER_HIRE);
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -19,17 +19,15 @@
 pub(super) struct Seen {
     /// Machines to rent.
     pub rent: BTreeMap<Kind, u32>,
-    /// Machines that nothing was given to: idle ones, and those that do little.
+    /// Idle machines that nothing was given to.
     pub spare: BTreeSet<HostId>,
-    pub thin: BTreeSet<HostId>,
 }
 
 /// A machine in the forecast: there, coming, or one that might be rented.
 struct Bin {
     kind: Kind,
-    /// The machine, if it is there and nothing has been given to it.
-    unused: Option<HostId>,
-    idle: bool,
+    /// The machine, if it is there and idle and nothing has been given to it.
+    idle: Option<HostId>,
     /// The part of it that is free: fuller ones are filled first.
     empty: f64,
     /// When it can take work at all.
@@ -69,7 +67,7 @@
         let end = at + run_s;
         let place = self.freed.partition_point(|(t, _)| *t <= end);
         self.freed.insert(place, (end, *need));
-        self.unused = None;
+        self.idle = None;
     }
 }
 
@@ -146,17 +144,8 @@
         for b in sheet.bins.drain(coming..) {
             *rent.entry(b.kind).or_default() += 1;
         }
-        let (mut spare, mut thin) = (BTreeSet::new(), BTreeSet::new());
-        for b in sheet.bins {
-            if let Some(host) = b.unused {
-                if b.idle {
-                    spare.insert(host);
-                } else {
-                    thin.insert(host);
-                }
-            }
-        }
-        Seen { rent, spare, thin }
+        let spare = sheet.bins.into_iter().filter_map(|b| b.idle).collect();
+        Seen { rent, spare }
     }
 
     fn give_waiting(&self, now: Millis, unmet: &[Unmet], sheet: &mut Sheet) {
@@ -231,8 +220,7 @@
             let kind = (m.rig.clone(), m.site.clone(), m.spot);
             let bin = |from_s, room| Bin {
                 kind: kind.clone(),
-                unused: None,
-                idle: false,
+                idle: None,
                 empty: 1.0,
                 from_s,
                 room,
@@ -251,8 +239,7 @@
                 }
                 Standing::Up if self.usable(m, now) => {
                     let mut b = bin(0.0, m.free);
-                    b.unused = Some(m.id.clone());
-                    b.idle = m.live == 0;
+                    b.idle = (m.live == 0).then(|| m.id.clone());
                     b.empty = emptiness(&m.free, &self.capacity(&m.rig));
                     b.class = self.reserved.get(&m.id).cloned();
                     b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
@@ -277,8 +264,7 @@
             for _ in 0..h.count {
                 bins.push(Bin {
                     kind: h.kind.clone(),
-                    unused: None,
-                    idle: false,
+                    idle: None,
                     empty: 1.0,
                     from_s: rest.max(1.0),
                     room: self.capacity(&h.kind.0),
@@ -377,8 +363,7 @@
                     new = choose(ask.n - given, &sheet.zones);
                     sheet.bins.push(Bin {
                         room: self.capacity(&kind.0),
-                        unused: None,
-                        idle: false,
+                        idle: None,
                         empty: 1.0,
                         from_s: self.boot_s(&kind.0),
                         kind,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -6,7 +6,6 @@
 pub mod demand;
 pub mod fleet;
 pub mod forecast;
-pub mod gathering;
 pub mod graph;
 pub mod leadership;
 pub mod placement;
