--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -76,9 +76,9 @@
 const DEAD_PLUS_S: f64 = 20.0;
 /// A machine being emptied is returned after this even if something on it doesn't end.
 const DRAIN_PATIENCE: Millis = Millis(20_000);
-/// An idle machine that the forecast has no use for is kept for this long; one that it has, for so
-/// many times what it would take to have it again.
-const SPARE_S: f64 = 20.0;
+/// An idle machine is kept for so many times what it would take to have it again, if the forecast has
+/// no use for it and if it has.
+const SPARE: f64 = 0.6;
 const WANTED: f64 = 3.0;
 /// The forecast is made at most this often, and less often the more machines there are: it costs
 /// more than a placement does.
@@ -381,11 +381,9 @@
                 && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
             // Idle and spare: returned soon. Otherwise kept for as long as it may be of use.
             let spare = self.fleet.spare.contains(&m.id);
-            let keep_s = if spare {
-                SPARE_S.min(self.renewal_s(m) * self.policy.operator.idle_boots)
-            } else {
-                self.renewal_s(m) * self.policy.operator.idle_boots * WANTED
-            };
+            let keep_s = self.renewal_s(m)
+                * self.policy.operator.idle_boots
+                * if spare { SPARE } else { WANTED };
             let idle = m.standing == Standing::Up
                 && !self.reserved.contains_key(&m.id)
                 && m.idle_since.is_some_and(|t| (now - t).secs() > keep_s);
