--- a/src/duties/front.rs
+++ b/src/duties/front.rs
@@ -115,7 +115,7 @@
         Err(status) => return Reply::error(status, "the body can't be taken"),
     };
     if path == "/checkin" {
-        return check_in(node, &body);
+        return check_in(node, &body).await;
     }
     // Reports of workers come first: users' requests beyond what fits are told to come back.
     let Ok(_slot) = node.user_slots.try_acquire() else {
@@ -124,14 +124,20 @@
     user_request(node, method.as_str(), path, &body, false).await
 }
 
-fn check_in(node: &Node, body: &[u8]) -> Reply {
+async fn check_in(node: &Node, body: &[u8]) -> Reply {
     let report: Report = match serde_json::from_slice(body) {
         Ok(r) => r,
         Err(e) => return Reply::error(400, &e.to_string()),
     };
     node.last_check_in.store(node.now().0, Ordering::Relaxed);
-    match node.leader.check_in(node.now(), &report) {
+    let mut said = node.leader.check_in(node.now(), &report);
+    if matches!(said, CheckIn::Soon) {
+        node.leader.taken_over().await;
+        said = node.leader.check_in(node.now(), &report);
+    }
+    match said {
         CheckIn::Orders { baton, orders } => Reply::json(200, &CheckInReply { baton, orders }),
+        CheckIn::Soon => Reply::json(421, &GoElsewhere { leader: None }),
         CheckIn::GoTo(leader) => Reply::json(
             421,
             &GoElsewhere {
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -20,7 +20,7 @@
 use rand::Rng;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 use tokio_util::sync::CancellationToken;
 
 /// A leadership that is going on.
@@ -31,14 +31,24 @@
 
 /// What a worker's check-in is answered with.
 pub enum CheckIn {
-    Orders { baton: Baton, orders: Vec<Order> },
+    Orders {
+        baton: Baton,
+        orders: Vec<Order>,
+    },
     GoTo(Option<String>),
+    /// This controller has the leader key and is about to take over.
+    Soon,
 }
 
+/// A check-in waits for a takeover for this long; the worker waits for 4 s.
+const SOON: Duration = Duration::from_millis(2500);
+
 /// The leader's core, if this controller leads, and the name of whoever else does.
 #[derive(Default)]
 pub struct LeaderCell {
     active: Mutex<Option<Active>>,
+    /// Whether we have the leader key but have not taken over yet.
+    taking: watch::Sender<bool>,
     /// As read at that moment: it counts only for so long.
     other: Mutex<Option<(String, Millis)>>,
     wake: Notify,
@@ -67,8 +77,17 @@
         }
     }
 
+    /// Waits until a takeover that is under way is over, if it is so soon.
+    pub async fn taken_over(&self) {
+        let mut taking = self.taking.subscribe();
+        let _ = tokio::time::timeout(SOON, taking.wait_for(|t| !t)).await;
+    }
+
     /// Answers a check-in. Authority is checked before the core acts and again on what it says.
     pub fn check_in(&self, now: Millis, report: &Report) -> CheckIn {
+        if *self.taking.borrow() {
+            return CheckIn::Soon;
+        }
         if let Some(a) = lock(&self.active).as_mut() {
             if a.authority.holds(now) {
                 let answer = a.core.check_in(now, report);
@@ -227,6 +246,9 @@
         hold,
         end.clone(),
     ));
+    // Guards against a takeover that starves: workers sent here by the others would be sent away and
+    // come back every second, all of them, and took the whole of a small share.
+    node.leader.taking.send_replace(true);
     let found = inherit(node).await;
     let core = found.and_then(|(found, epoch)| {
         let jobs = found.open.len();
@@ -243,6 +265,7 @@
                 core,
                 authority: won.authority.clone(),
             });
+            node.leader.taking.send_replace(false);
             tracing::info!(baton = %first, jobs, "took over");
             let mut duties = tokio::task::JoinSet::new();
             duties.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
@@ -258,6 +281,7 @@
     }
     won.authority.resign();
     *lock(&node.leader.active) = None;
+    node.leader.taking.send_replace(false);
     end.cancel();
     let _ = renewing.await;
     tracing::info!(baton = %first, "leading no more");
@@ -293,12 +317,16 @@
 /// Reads everything a new leader needs. All reads come after the leader key was written, so no
 /// former leader can add an intent that we miss: its writes are guarded by the old key.
 async fn inherit(node: &Node) -> Option<(Inheritance, Epoch)> {
-    let (open, epoch) = node.state.list(OPEN).await.ok()?;
-    let (progress, _) = node.state.list(PROGRESS).await.ok()?;
-    let (hosts, _) = node.state.list(HOSTS).await.ok()?;
-    let (intents, _) = node.state.list(INTENTS).await.ok()?;
+    let state = &node.state;
+    let ((open, epoch), (progress, _), (hosts, _), (intents, _), hints) = tokio::try_join!(
+        state.list(OPEN),
+        state.list(PROGRESS),
+        state.list(HOSTS),
+        state.list(INTENTS),
+        state.get(HINTS),
+    )
+    .ok()?;
     let open = read_open(node, open);
-    let hints = node.state.get(HINTS).await.ok()?;
     let found = Inheritance {
         open,
         progress,
