Seats for connections, direct commands on connections of their own

Cause: at half as many machines again every socket of the leader was taken (3273 of 3273, 2931 of 2931): one connection in and one kept open out for each machine, and those of dead machines stayed.

--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Facts, Objective, Operator, Settings, Team};
+use crate::transport::sockets::Sockets;
 use ageing::Ageing;
 use fleet::Fleet;
 use graph::Graph;
@@ -38,14 +39,19 @@
 pub struct Policy {
     pub facts: Facts,
     pub operator: Operator,
+    /// Direct commands that may be awaited at once.
+    pub most_direct: usize,
 }
 
 impl Policy {
     /// Takes what the core needs.
     pub fn new(s: &Settings) -> Policy {
+        let most = s.platform.facts.quota.max_sockets;
+        let users = s.operator.max_user_requests;
         Policy {
             facts: s.platform.facts.clone(),
             operator: s.operator.clone(),
+            most_direct: Sockets::divide(most, s.platform.siblings.len(), users).direct,
         }
     }
     /// A team's number.
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -29,8 +29,6 @@
 pub(crate) const MAX_LISTED: usize = 400;
 /// Machines reviewed each second beyond those that something happened to.
 const REVIEW_PARTS: u64 = 4;
-/// Direct commands that may be awaited at once.
-const MOST_DIRECT: usize = 96;
 
 /// The answer to a check-in.
 #[derive(Debug, PartialEq)]
@@ -795,7 +793,7 @@
             if never || m.standing != Standing::Up {
                 continue;
             }
-            if m.direct_after > now || self.directs >= MOST_DIRECT {
+            if m.direct_after > now || self.directs >= self.policy.most_direct {
                 later.insert(host);
                 continue;
             }
--- a/src/duties/front.rs
+++ b/src/duties/front.rs
@@ -5,6 +5,7 @@
 use super::{users, Node};
 use crate::protocol::peers::{PeerReply, PeerRequest};
 use crate::protocol::workers::{CheckInReply, GoElsewhere, Report};
+use crate::transport::server::{self, Rank, Seated, Seats};
 use bytes::{Buf, BytesMut};
 use futures_util::{Stream, TryStreamExt};
 use serde::Serialize;
@@ -58,18 +59,36 @@
 /// Serves until stopped.
 pub async fn serve(node: Arc<Node>, listener: tokio::net::TcpListener) {
     let stop = node.stop.clone();
+    let seats = Arc::new(Seats::new(node.sockets.front));
+    let idle = idle_time(node.policy.facts.workers.report_s);
     let routes = warp::method()
         .and(warp::path::full())
+        .and(warp::ext::optional::<Seated>())
         .and(warp::body::stream())
-        .then(move |method: Method, path: FullPath, body| {
-            let node = node.clone();
-            async move { to_http(answer(&node, method, path.as_str(), body).await) }
-        });
-    warp::serve(routes)
-        .incoming(listener)
-        .graceful(async move { stop.cancelled().await })
-        .run()
-        .await;
+        .then(
+            move |method: Method, path: FullPath, seat: Option<Seated>, body| {
+                let node = node.clone();
+                async move {
+                    // Reports come first: when seats run out, users' connections make room.
+                    if let Some(seat) = seat.filter(|_| path.as_str() == CHECK_IN) {
+                        seat.rank(WORKER);
+                    }
+                    to_http(answer(&node, method, path.as_str(), body).await)
+                }
+            },
+        );
+    server::serve(listener, seats, idle, stop, warp::service(routes)).await;
+}
+
+/// Where workers report.
+const CHECK_IN: &str = "/checkin";
+/// What a worker's connection is worth; a user's has the lowest rank.
+const WORKER: Rank = Rank(1);
+
+/// After this without a request a connection is taken for dead: a machine without power never says
+/// so. Workers report more often, and so do users who wait for something.
+fn idle_time(report_s: f64) -> Duration {
+    Duration::from_secs_f64((report_s * 6.0).clamp(30.0, 300.0))
 }
 
 /// Reads the body within its limits. Err: the status that says what is wrong.
@@ -105,7 +124,7 @@
 {
     match (path, method.as_str()) {
         ("/healthz", "GET") => return health(node),
-        ("/healthz" | "/checkin", m) if (path == "/healthz") || m != "POST" => {
+        ("/healthz" | CHECK_IN, m) if (path == "/healthz") || m != "POST" => {
             return Reply::error(405, "method not allowed");
         }
         _ => {}
@@ -114,7 +133,7 @@
         Ok(b) => b,
         Err(status) => return Reply::error(status, "the body can't be taken"),
     };
-    if path == "/checkin" {
+    if path == CHECK_IN {
         return check_in(node, &body).await;
     }
     // Reports of workers come first: users' requests beyond what fits are told to come back.
--- a/src/duties/mod.rs
+++ b/src/duties/mod.rs
@@ -14,6 +14,7 @@
 use crate::settings::Settings;
 use crate::transport::client::Client;
 use crate::transport::peer::PeerClient;
+use crate::transport::sockets::Sockets;
 use leader::LeaderCell;
 use state_client::StateClient;
 use std::collections::BTreeMap;
@@ -39,6 +40,7 @@
     pub copy: copy::OpenCopy,
     pub finals: Mutex<users::FinalCache>,
     pub user_slots: tokio::sync::Semaphore,
+    pub sockets: Sockets,
     pub stop: CancellationToken,
     /// When a worker last reported here, whatever it was answered; negative: never.
     pub last_check_in: AtomicI64,
@@ -99,12 +101,22 @@
     let peer_socket = listen("peer_bind", p.peer_bind).await?;
     tracing::info!(name = %p.host_name, zone = %p.location, front = %p.front, "controller starts");
     let connect = Duration::from_millis(700);
+    let most = p.facts.quota.max_sockets;
+    let users = settings.operator.max_user_requests;
+    let sockets = Sockets::divide(most, p.siblings.len(), users);
+    tracing::debug!(?sockets, "sockets divided");
     let node = Arc::new(Node {
         policy: Arc::new(Policy::new(&settings)),
-        state: StateClient::new(p.endpoints.state.to_string()),
-        cloud: Client::new(connect, 2),
-        workers: Client::new(connect, 1),
-        siblings: p.siblings.iter().map(|s| PeerClient::new(s.addr)).collect(),
+        state: StateClient::new(p.endpoints.state.to_string(), sockets.to_state),
+        cloud: Client::new(connect, sockets.to_cloud),
+        // None is kept open: with thousands of machines, one to each would leave none for others,
+        // and the next command to the same machine seldom comes soon.
+        workers: Client::new(connect, 0),
+        siblings: p
+            .siblings
+            .iter()
+            .map(|s| PeerClient::new(s.addr, sockets.to_sibling))
+            .collect(),
         heard: Mutex::new(vec![None; p.siblings.len()]),
         leader: LeaderCell::default(),
         rigs: Mutex::new(Vec::new()),
@@ -112,6 +124,7 @@
         copy: copy::OpenCopy::default(),
         finals: Mutex::new(users::FinalCache::default()),
         user_slots: tokio::sync::Semaphore::new(settings.operator.max_user_requests),
+        sockets,
         stop: stop.clone(),
         last_check_in: AtomicI64::new(-1),
         began: Instant::now(),
--- a/src/duties/peers.rs
+++ b/src/duties/peers.rs
@@ -66,7 +66,7 @@
 
 /// Answers siblings.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
-    let most = (node.settings.platform.facts.quota.max_sockets / 20).clamp(8, 64);
+    let most = node.sockets.siblings_in;
     let stop = node.stop.clone();
     peer::serve(listener, stop, most, move |request| {
         let node = node.clone();
--- a/src/duties/state_client.rs
+++ b/src/duties/state_client.rs
@@ -32,6 +32,9 @@
 /// Time allowed for one ordinary call. Answers usually take milliseconds.
 pub const CALL: Duration = Duration::from_millis(900);
 
+/// Connections kept open between calls.
+const KEPT_OPEN: usize = 8;
+
 /// The client.
 pub struct StateClient {
     http: Client,
@@ -41,10 +44,10 @@
 }
 
 impl StateClient {
-    /// A client for the service at the address.
-    pub fn new(addr: String) -> Self {
+    /// A client for the service at the address, with at most so many sockets.
+    pub fn new(addr: String, sockets: usize) -> Self {
         StateClient {
-            http: Client::new(Duration::from_millis(600), 8),
+            http: Client::new(Duration::from_millis(600), sockets.min(KEPT_OPEN)),
             addr,
             began: Instant::now(),
             last_ok_ms: AtomicI64::new(-1_000_000),
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,5 +1,8 @@
-//! Moving bytes: the HTTP client with deadlines, the peer link, rate budgets. No policy here.
+//! Moving bytes: the HTTP client with deadlines, the HTTP server with its seats, the peer link,
+//! rate budgets, the division of sockets. No policy here.
 
 pub mod budget;
 pub mod client;
 pub mod peer;
+pub mod server;
+pub mod sockets;
--- a/src/transport/peer.rs
+++ b/src/transport/peer.rs
@@ -16,8 +16,6 @@
 
 /// The largest frame; a user's body is at most 64 KiB, counts are shorter.
 const MAX_FRAME: usize = 256 * 1024;
-/// Connections kept open to one sibling.
-const MAX_IDLE: usize = 4;
 
 fn framed(s: TcpStream) -> Link {
     let _ = s.set_nodelay(true);
@@ -30,14 +28,17 @@
 /// One sibling, with a few connections kept open.
 pub struct PeerClient {
     addr: SocketAddr,
+    /// So many connections are kept open.
+    most_idle: usize,
     idle: Mutex<Vec<Link>>,
 }
 
 impl PeerClient {
     /// A client that has not connected yet.
-    pub fn new(addr: SocketAddr) -> Self {
+    pub fn new(addr: SocketAddr, most_idle: usize) -> Self {
         PeerClient {
             addr,
+            most_idle,
             idle: Mutex::new(Vec::new()),
         }
     }
@@ -74,7 +75,7 @@
 
     fn keep(&self, link: Link) {
         if let Ok(mut idle) = self.idle.lock() {
-            if idle.len() < MAX_IDLE {
+            if idle.len() < self.most_idle {
                 idle.push(link);
             }
         }
--- /dev/null
+++ b/src/transport/server.rs
@@ -0,0 +1,243 @@
+//! The HTTP server: a task for each connection, within a table of so many seats. When the table is
+//! full a newcomer takes the seat of whoever is worth least: of the lowest rank, idle, and longest
+//! unused. Which guests rank how is the caller's to say.
+//!
+//! Guards against running out of sockets: a machine without power never closes its connection, and
+//! once every socket is taken no connection to the state service or to a sibling can be made either.
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use tower_service::Service;
+
+/// What a connection is worth when the table is full; a new one has the lowest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank(pub u8);
+
+#[derive(Debug)]
+struct Seat {
+    rank: Rank,
+    /// A request is being answered.
+    busy: bool,
+    used: Instant,
+    close: CancellationToken,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    seats: BTreeMap<u64, Seat>,
+    next: u64,
+}
+
+/// The seats of one server.
+#[derive(Debug)]
+pub struct Seats {
+    most: usize,
+    table: Mutex<Table>,
+}
+
+impl Seats {
+    /// So many seats, all free.
+    pub fn new(most: usize) -> Seats {
+        Seats {
+            most: most.max(1),
+            table: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How many are taken.
+    pub fn taken(&self) -> usize {
+        self.lock().seats.len()
+    }
+
+    /// Takes a seat; if there is none, that of whoever is worth least.
+    fn take(&self, close: CancellationToken) -> u64 {
+        let mut t = self.lock();
+        if t.seats.len() >= self.most {
+            let least = t
+                .seats
+                .iter()
+                .min_by_key(|(_, s)| (s.busy, s.rank, s.used))
+                .map(|(n, _)| *n);
+            if let Some(seat) = least.and_then(|n| t.seats.remove(&n)) {
+                seat.close.cancel();
+            }
+        }
+        t.next += 1;
+        let no = t.next;
+        let seat = Seat {
+            rank: Rank::default(),
+            busy: false,
+            used: Instant::now(),
+            close,
+        };
+        t.seats.insert(no, seat);
+        no
+    }
+
+    fn change(&self, no: u64, change: impl FnOnce(&mut Seat)) {
+        if let Some(s) = self.lock().seats.get_mut(&no) {
+            change(s);
+        }
+    }
+}
+
+/// The seat that a request came from: among the request's extensions.
+#[derive(Clone, Debug)]
+pub struct Seated {
+    seats: Arc<Seats>,
+    no: u64,
+}
+
+impl Seated {
+    /// From now on the connection is worth so much.
+    pub fn rank(&self, rank: Rank) {
+        self.seats.change(self.no, |s| s.rank = rank);
+    }
+}
+
+/// Leaves the seat however the connection ends.
+impl Drop for Leaving {
+    fn drop(&mut self) {
+        self.0.seats.lock().seats.remove(&self.0.no);
+    }
+}
+struct Leaving(Seated);
+
+/// Serves until stopped; a connection on which no request begins for `idle` is closed.
+pub async fn serve<S, B>(
+    listener: TcpListener,
+    seats: Arc<Seats>,
+    idle: Duration,
+    stop: CancellationToken,
+    service: S,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send,
+    B: hyper::body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut http = http1::Builder::new();
+    http.timer(TokioTimer::new()).header_read_timeout(idle);
+    let tasks = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            _ = stop.cancelled() => break,
+            a = listener.accept() => a,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of sockets, most likely: wait a little rather than spin.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let close = stop.child_token();
+        let no = seats.take(close.clone());
+        let seated = Seated {
+            seats: seats.clone(),
+            no,
+        };
+        tasks.spawn(connection(
+            http.clone(),
+            stream,
+            seated,
+            close,
+            service.clone(),
+        ));
+    }
+    tasks.close();
+    tasks.wait().await;
+}
+
+async fn connection<S, B>(
+    http: http1::Builder,
+    stream: TcpStream,
+    seated: Seated,
+    close: CancellationToken,
+    service: S,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send,
+    B: hyper::body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let _leaving = Leaving(seated.clone());
+    let _ = stream.set_nodelay(true);
+    let answer = service_fn(move |mut request: Request<Incoming>| {
+        let seated = seated.clone();
+        let mut service = service.clone();
+        seated.seats.change(seated.no, |s| s.busy = true);
+        request.extensions_mut().insert(seated.clone());
+        async move {
+            let answer = service.call(request).await;
+            seated.seats.change(seated.no, |s| {
+                s.busy = false;
+                s.used = Instant::now();
+            });
+            answer
+        }
+    });
+    let serving = http.serve_connection(TokioIo::new(stream), answer);
+    let mut serving = std::pin::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        _ = close.cancelled() => {
+            // What is being answered is answered to its end; nothing new begins.
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(e) = ended {
+        tracing::debug!(error = %e, "a connection ended");
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_full_table_gives_up_the_lowest_rank_and_what_lay_idle_longest() {
+        let seats = Seats::new(3);
+        let tokens: Vec<_> = (0..6).map(|_| CancellationToken::new()).collect();
+        let worker = seats.take(tokens[0].clone());
+        seats.change(worker, |s| s.rank = Rank(1));
+        let user = seats.take(tokens[1].clone());
+        let busy = seats.take(tokens[2].clone());
+        seats.change(busy, |s| s.busy = true);
+        seats.change(user, |s| s.used = Instant::now());
+        seats.take(tokens[3].clone());
+        assert!(
+            tokens[1].is_cancelled(),
+            "an idle user goes before a worker"
+        );
+        seats.take(tokens[4].clone());
+        assert!(tokens[3].is_cancelled(), "and before a request under way");
+        assert!(!tokens[0].is_cancelled() && !tokens[2].is_cancelled());
+        assert_eq!(seats.taken(), 3);
+        let last = seats.lock().next;
+        seats.change(last, |s| s.rank = Rank(1));
+        seats.take(tokens[5].clone());
+        assert!(tokens[0].is_cancelled(), "of workers the longest idle");
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -14,6 +14,9 @@
 use std::path::{Path, PathBuf};
 use world::{Cut, World};
 
+/// Direct commands awaited at once.
+const MOST_DIRECT: usize = 96;
+
 /// Words after the first, as `name value` pairs; bare flags have an empty value.
 struct Words<'a>(Vec<&'a str>);
 
@@ -381,6 +384,7 @@
     let policy = Policy {
         facts: g.facts,
         operator: Operator::default(),
+        most_direct: MOST_DIRECT,
     };
     let mut w = World::new(policy, g.rigs, g.machines, g.seed);
     for (t, list) in events {
@@ -454,6 +458,7 @@
         let policy = Policy {
             facts: g.facts,
             operator: Operator::default(),
+            most_direct: MOST_DIRECT,
         };
         let mut w = World::new(policy, g.rigs, 14, seed);
         w.lead();
