--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -198,6 +198,8 @@
     pub need: Amount,
     pub team: Option<TeamNo>,
     pub image: Option<Image>,
+    /// A member of a gang: seconds until its image was to be there when it was placed.
+    pub image_s: Option<f64>,
     /// Whether its job was a latency job when it was placed.
     pub latency: bool,
     /// The page on the state service that holds the intent: only then may it be launched.
@@ -235,6 +237,7 @@
             need: job.map_or(need, |j| Amount::of(&j.spec)),
             team: job.and_then(|j| j.team),
             image: job.map(|j| j.spec.image.clone()),
+            image_s: None,
             latency: false,
             page: None,
             checkin_carrier: None,
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -55,11 +55,14 @@
             looked: Millis(i64::MIN / 4),
             swept: Millis(i64::MIN / 4),
             logged: Millis(i64::MIN / 4),
-            calls: Budget::new(cloud_rps * 0.6, cloud_rps * 0.6),
+            // The list takes the rest; the cloud allows bursts of two seconds' worth.
+            calls: Budget::new(cloud_rps * CALLS, cloud_rps * 2.0 * CALLS),
         }
     }
 }
 
+/// The part of the cloud's rate that rentals and returns use.
+const CALLS: f64 = 0.7;
 /// The most one rental may ask for, by the protocol.
 const MOST_PER_HIRE: u32 = 50;
 /// The most names in one return, by the protocol.
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -507,6 +507,9 @@
                 }
             }
             let mut start = self.new_start(&host, piece.clone(), pass.attempt, now);
+            let several = gang && spec.pieces > 1;
+            let m = self.machines.get(&host).filter(|_| several);
+            start.image_s = m.map(|m| self.wait_for_image(now, m, &spec));
             start.latency = latency;
             self.put_start(&host, start);
             self.add_place(&host, &piece);
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -265,6 +265,13 @@
             _ => self.see_start(now, host, &key, seen),
         }
         let was = before.map(|b| b.phase);
+        if p.phase == PiecePhase::Waiting && was != Some(PiecePhase::Waiting) {
+            // Members that had their image at once may be launched now.
+            if let Some(job) = self.jobs.get(&p.piece.job) {
+                self.direct_due
+                    .extend(job.places.values().flatten().cloned());
+            }
+        }
         if p.phase == PiecePhase::Running && was != Some(PiecePhase::Running) {
             tracing::debug!(piece = %p.piece, host = %host, "runs");
             self.note_image(now, host, &p.piece.job);
@@ -730,6 +737,7 @@
 
     fn wants_launch(&self, m: &Machine, s: &Start) -> bool {
         s.page.is_some()
+            && !self.waits_for_mates(s)
             && s.stop.is_none()
             && s.seen.is_none()
             && !s.inherited
@@ -742,6 +750,34 @@
                 .is_some_and(|j| j.wants(s.piece.index))
     }
 
+    /// Whether a member of a gang has its image so much sooner than another that it would give up
+    /// before the other has it: it is launched once all of those have theirs.
+    ///
+    /// Guards against a gang that never stands: on a calm day of the fleet one member had a large
+    /// image already, the other's fetch took longer than the wait for a gang; both ended, the fetch
+    /// was given up, and the same began anew, four times.
+    fn waits_for_mates(&self, s: &Start) -> bool {
+        let Some(soon) = s.image_s else {
+            return false;
+        };
+        let Some(job) = self.jobs.get(&s.piece.job) else {
+            return false;
+        };
+        let patience = self.policy.facts.workers.gang_wait_s * PATIENT;
+        let fetches = |m: &Start| {
+            m.piece.job == s.piece.job
+                && m.attempt == s.attempt
+                && m.image_s.is_some_and(|later| later > soon + patience)
+                && m.seen.is_none_or(|x| x.phase == PiecePhase::Fetching)
+        };
+        job.places
+            .values()
+            .flatten()
+            .filter_map(|h| self.machines.get(h))
+            .flat_map(Machine::going)
+            .any(fetches)
+    }
+
     /// The orders that answer a check-in: all that the worker should know now.
     fn check_in_orders(&mut self, now: Millis, host: &HostId) -> Vec<Order> {
         let Some(m) = self.machines.get(host) else {
@@ -861,5 +897,8 @@
     }
 }
 
+/// The part of the wait for a gang by which fetches may differ, as estimated: they take up to half as
+/// long again.
+const PATIENT: f64 = 0.4;
 /// Orders in one message: keeps its line well under 64 KiB.
 const MAX_ORDERS: usize = 400;
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -409,10 +409,16 @@
 async fn list_hosts(node: Arc<Node>, end: CancellationToken) {
     while !end.is_cancelled() {
         let asked = node.now();
+        let mut listed = 0;
         if let Some(hosts) = whole_list(&node).await {
+            listed = hosts.len();
             node.leader.event(node.now(), Event::Hosts { asked, hosts });
         }
-        let pause = Duration::from_millis(3000 + rand::rng().random_range(0..500));
+        // Rentals and returns come first: a list of many pages is read less often.
+        let pages = (listed / LIST_PAGE + 1) as f64;
+        let least_s = pages / (node.policy.facts.cloud.rps * LIST_SHARE);
+        let pause = Duration::from_secs_f64(least_s.clamp(3.0, 30.0));
+        let pause = pause + Duration::from_millis(rand::rng().random_range(0..500));
         tokio::select! {
             _ = end.cancelled() => return,
             _ = tokio::time::sleep(pause) => {}
@@ -420,13 +426,18 @@
     }
 }
 
+/// Machines on a page of the list, the most that the protocol allows.
+const LIST_PAGE: usize = 500;
+/// The part of the cloud's rate that reading the list may use.
+const LIST_SHARE: f64 = 0.25;
+
 async fn whole_list(node: &Node) -> Option<Vec<CloudHost>> {
     let mut hosts: Vec<CloudHost> = Vec::new();
     loop {
         let since = hosts
             .last()
             .map_or(String::new(), |h| format!("since={}&", h.id));
-        let path = format!("/rentals?{since}most=500");
+        let path = format!("/rentals?{since}most={LIST_PAGE}");
         let a = cloud(node, Method::GET, &path, None).await.ok()?;
         if a.0 != 200 {
             return None;
