Jobs wait a little for machines that have their image

Cause: with too much to do, half of all starts fetched their image: what came free was taken at once by the first job in the queue, though machines with its image come free every second.

--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -105,6 +105,8 @@
     pub ran: u32,
     /// A task of it has run, or may have under a former leader.
     pub begun: bool,
+    /// Since when it has left room to jobs whose image is at hand.
+    pub waits_since: Option<Millis>,
     /// No start before this: backs off after failures.
     pub not_before: Millis,
     pub failures: u32,
@@ -131,6 +133,7 @@
             ran_most_s: 0.0,
             ran: 0,
             begun: false,
+            waits_since: None,
             not_before: Millis(i64::MIN / 4),
             failures: 0,
             failed_on: BTreeSet::new(),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -19,7 +19,9 @@
 use crate::bookkeeping::ledger::{Amount, Job, Machine, Standing};
 use crate::bookkeeping::records::OpenRecord;
 use crate::coordination::leadership::Lead;
-use crate::ids::{Baton, Epoch, HostId, JobId, Millis, Rig, Site, Stamp, TeamNo, Tenure, Try};
+use crate::ids::{
+    Baton, Epoch, HostId, Image, JobId, Millis, Rig, Site, Stamp, TeamNo, Tenure, Try,
+};
 use crate::protocol::cloud::{CloudHost, RigInfo};
 use crate::protocol::state::{Item, Txn};
 use crate::protocol::users::JobSpec;
@@ -240,6 +242,8 @@
     pub(crate) demand: BTreeMap<String, demand::Demand>,
     pub(crate) reserved: BTreeMap<HostId, String>,
     pub(crate) standby_missing: Vec<(JobSpec, u32)>,
+    /// GPUs of machines that have each image cached.
+    pub(crate) image_room: BTreeMap<Image, f64>,
 }
 
 /// Counts of one job, for display.
@@ -320,6 +324,7 @@
             self.graph.recheck();
             self.recheck_machines(now);
             self.recheck_ageing(now);
+            self.recheck_images();
             self.forget_closed_jobs();
             self.log_state(now);
             self.dirty = true;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -48,6 +48,9 @@
 /// Machines a job has failed on are avoided up to this many; past it, it is the job that is bad.
 const AVOID: usize = 3;
 
+/// A job waits for machines that have its image for this part of the time that a fetch takes.
+const WAIT_PART: f64 = 0.5;
+
 /// Tasks placed in one pass: what is left is placed in the next one, so that reports and the
 /// lease's renewal never wait for a whole wave.
 const MOST_PLACED: usize = 400;
@@ -377,34 +380,117 @@
             placed: 0,
             cached: false,
         };
-        let mut unmet = Vec::new();
+        // By place in the queue: what is left of each job.
+        let mut unmet: BTreeMap<usize, Unmet> = BTreeMap::new();
+        let mut later = Vec::new();
+        let mut at = 0;
         for round in queue {
             // Jobs that are alike first go where their image is; what is left goes anywhere. With too
             // much to do, a tenth of all machine time went into fetching otherwise.
-            if round.len() > 1 {
-                pass.cached = true;
-                for id in &round {
-                    if pass.placed < MOST_PLACED {
-                        self.place_job(now, id, &mut pass);
-                    }
+            pass.cached = true;
+            for id in &round {
+                if pass.placed < MOST_PLACED {
+                    self.place_job(now, id, &mut pass);
                 }
-                pass.cached = false;
             }
+            pass.cached = false;
             for id in round {
-                if pass.placed >= MOST_PLACED {
-                    self.dirty = true;
-                    return unmet;
+                at += 1;
+                if self.waits_for_image(now, &id, &pass) {
+                    later.push((at, id));
+                } else {
+                    self.place_rest(now, at, id, &mut pass, &mut unmet);
                 }
-                let left = self.place_job(now, &id, &mut pass);
-                if left > 0 {
-                    unmet.push(Unmet {
-                        job: id,
-                        count: left,
-                    });
+            }
+        }
+        // What nobody with the image at hand has taken.
+        for (at, id) in later {
+            self.place_rest(now, at, id, &mut pass, &mut unmet);
+        }
+        unmet.into_values().collect()
+    }
+
+    fn place_rest(
+        &mut self,
+        now: Millis,
+        at: usize,
+        id: JobId,
+        pass: &mut Pass,
+        unmet: &mut BTreeMap<usize, Unmet>,
+    ) {
+        if pass.placed >= MOST_PLACED {
+            self.dirty = true;
+            return;
+        }
+        let count = self.place_job(now, &id, pass);
+        if count > 0 {
+            unmet.insert(at, Unmet { job: id, count });
+        }
+    }
+
+    /// Whether a job leaves the room there is to jobs behind it that need not fetch their image, for
+    /// machines that have its own should come free soon. It does so for no longer than a part of the
+    /// fetch that it spares itself, counted from when it could first have taken something.
+    ///
+    /// Guards against every image being fetched to every machine while there is too much to do: what
+    /// came free was taken at once by the first job in the queue, and half of all starts fetched.
+    fn waits_for_image(&mut self, now: Millis, id: &JobId, pass: &Pass) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let spec = &job.spec;
+        if spec.shape != Shape::Array || job.pending.is_empty() || self.aged(job, now) {
+            return false;
+        }
+        let need = Need::of(spec);
+        if pass.full.iter().any(|f| need.covers(f)) {
+            return false;
+        }
+        let fetch_s = self.shortest_fetch_s(spec);
+        let slots = self.image_room.get(&spec.image).copied().unwrap_or(0.0) / spec.gpus.max(0.1);
+        let soon_s = job.pending.len() as f64 * self.estimate_of(job) / slots.max(1e-9);
+        let limit = Millis::from_secs(fetch_s * WAIT_PART);
+        let over = job.waits_since.is_some_and(|t| now - t > limit);
+        if over || soon_s > fetch_s {
+            return false;
+        }
+        let first: Vec<u32> = job.pending.iter().take(1).copied().collect();
+        if self.headroom(spec, job.team, &pass.used) == 0
+            || self.plan(now, id, spec, &first, None, pass).is_empty()
+        {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.waits_since.get_or_insert(now);
+        }
+        true
+    }
+
+    /// Seconds that the image takes to fetch on the type of machine that is quickest at it.
+    fn shortest_fetch_s(&self, spec: &JobSpec) -> f64 {
+        self.rigs
+            .keys()
+            .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(r)))
+            .map(|r| self.fetch_s(r, spec.image_gb))
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Once a second: how much room there is, free or not, where each image is cached.
+    pub(crate) fn recheck_images(&mut self) {
+        let mut room: BTreeMap<Image, f64> = BTreeMap::new();
+        for m in self.machines.values() {
+            if m.standing != Standing::Up || m.drain || m.recall_at.is_some() {
+                continue;
+            }
+            let gpus = self.capacity(&m.rig).gpus;
+            for (image, _) in &m.images {
+                match room.get_mut(image) {
+                    Some(r) => *r += gpus,
+                    None => drop(room.insert(image.clone(), gpus)),
                 }
             }
         }
-        unmet
+        self.image_room = room;
     }
 
     /// How many more tasks the team's limit lets start.
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -93,6 +93,7 @@
             demand: BTreeMap::new(),
             reserved: BTreeMap::new(),
             standby_missing: Vec::new(),
+            image_room: BTreeMap::new(),
         };
         core.rigs = found
             .rigs
