--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -7,6 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -350,6 +351,54 @@
     }))
 }
 
+/// A way to the state service that can be cut: while it is, connections are refused and open ones end.
+struct Way {
+    addr: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+impl Way {
+    fn to(target: SocketAddr) -> Way {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let cut = Arc::new(AtomicBool::new(false));
+        let held = cut.clone();
+        std::thread::spawn(move || {
+            for from in listener.incoming().flatten() {
+                if held.load(Ordering::Relaxed) {
+                    continue;
+                }
+                let to = TcpStream::connect(target).unwrap();
+                for (a, b) in [(&from, &to), (&to, &from)] {
+                    let (mut a, mut b) = (a.try_clone().unwrap(), b.try_clone().unwrap());
+                    let cut = held.clone();
+                    a.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+                    std::thread::spawn(move || {
+                        let mut part = [0u8; 16384];
+                        while !cut.load(Ordering::Relaxed) {
+                            match a.read(&mut part) {
+                                Ok(n) if n > 0 => {
+                                    if b.write_all(&part[..n]).is_err() {
+                                        break;
+                                    }
+                                }
+                                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
+                                _ => break,
+                            }
+                        }
+                        let _ = a.shutdown(std::net::Shutdown::Both);
+                        let _ = b.shutdown(std::net::Shutdown::Both);
+                    });
+                }
+            }
+        });
+        Way { addr, cut }
+    }
+    fn cut(&self, on: bool) {
+        self.cut.store(on, Ordering::Relaxed);
+    }
+}
+
 struct Node {
     child: Child,
     config: std::path::PathBuf,
@@ -358,10 +407,11 @@
 
 impl Node {
     fn start(config: &std::path::Path, front: &str) -> Node {
+        let log = std::env::var("LOOPBACK_LOG").is_ok();
         let child = Command::new(env!("CARGO_BIN_EXE_chalklug"))
             .args(["serve", "--config"])
             .arg(config)
-            .stderr(Stdio::null())
+            .stderr(if log { Stdio::inherit() } else { Stdio::null() })
             .spawn()
             .unwrap();
         Node {
@@ -483,30 +533,46 @@
     assert_eq!(http(front, "POST", "/checkin", b"{}").unwrap().0, 400);
 }
 
-#[test]
-fn three_processes_a_kill_and_a_restart() {
-    let ports = free_ports(6);
-    let fronts: Vec<String> = (0..3).map(|i| format!("127.0.0.1:{}", ports[i])).collect();
+/// So many controllers, each with its own way to the state service.
+struct Cluster {
+    nodes: Vec<Node>,
+    fronts: Vec<String>,
+    ways: Vec<Way>,
+    launched: Arc<Mutex<Vec<String>>>,
+    dir: std::path::PathBuf,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn cluster(name: &str, n: usize, max_sockets: usize) -> Cluster {
+    let ports = free_ports(2 * n);
+    let fronts: Vec<String> = (0..n).map(|i| format!("127.0.0.1:{}", ports[i])).collect();
     let launched = Arc::new(Mutex::new(Vec::new()));
     let state = state_service();
+    let ways: Vec<Way> = (0..n).map(|_| Way::to(state)).collect();
     let cloud = cloud(fronts.clone(), launched.clone());
-    let dir = std::env::temp_dir().join(format!("chalklug-loopback-{}", std::process::id()));
+    let dir = std::env::temp_dir().join(format!("chalklug-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
-    let mut nodes: Vec<Node> = (0..3)
+    let nodes: Vec<Node> = (0..n)
         .map(|i| {
-            let siblings: String = (0..3)
+            let siblings: String = (0..n)
                 .filter(|j| *j != i)
-                .map(|j| format!("[[siblings]]\nhost_name = \"n{j}\"\nlocation = \"a\"\naddr = \"127.0.0.1:{}\"\n", ports[3 + j]))
+                .map(|j| format!("[[siblings]]\nhost_name = \"n{j}\"\nlocation = \"a\"\naddr = \"127.0.0.1:{}\"\n", ports[n + j]))
                 .collect();
+            let state = ways[i].addr;
             let text = format!(
                 "host_name = \"n{i}\"\nlocation = \"a\"\nfront = \"{}\"\npeer_bind = \"127.0.0.1:{}\"\nnew_field = 1\n{siblings}\n\
-                 [endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[facts]\nnodes = 3\nclock_error_ms = 10.0\n\
+                 [endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[facts]\nnodes = {n}\nclock_error_ms = 10.0\n\
                  [[facts.teams]]\nname = \"blue\"\ngpus = 4.0\ngpus_max = 20.0\n\
                  [facts.workers]\nreport_s = 0.3\nlease_s = 20.0\ngang_wait_s = 20.0\ngang_peer_s = 4.0\ncancel_s = 30.0\n\
                  [facts.state]\nrps = 1000.0\nwrite_rps = 500.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
-                 [facts.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[facts.quota]\ncores = 1.0\nmemory_mb = 500.0\nmax_sockets = 500\n",
+                 [facts.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[facts.quota]\ncores = 1.0\nmemory_mb = 500.0\nmax_sockets = {max_sockets}\n",
                 fronts[i],
-                ports[3 + i]
+                ports[n + i]
             );
             let config = dir.join(format!("n{i}.toml"));
             std::fs::write(&config, text).unwrap();
@@ -518,6 +584,107 @@
             http(&n.front, "GET", "/healthz", b"").filter(|(s, _)| *s == 200)
         });
     }
+    Cluster {
+        nodes,
+        fronts,
+        ways,
+        launched,
+        dir,
+    }
+}
+
+/// A check-in of a machine that nobody rented: what a controller answers, and its baton.
+fn check_in(front: &str, tick: u64) -> Option<(u16, u64)> {
+    let report = json!({"host": "host-900000", "endpoint": "127.0.0.1:1", "rig": "box", "site": "a",
+        "loaners": false, "tenure": 1, "tick": tick, "baton": 0, "recallS": null, "pieces": []});
+    let (status, body) = http(front, "POST", "/checkin", report.to_string().as_bytes())?;
+    Some((status, body["baton"].as_u64().unwrap_or(0)))
+}
+
+/// The leader loses the state service but not its workers: it ceases to answer them before another
+/// can lead, and nothing is launched twice.
+#[test]
+fn a_leader_with_workers_only_falls_silent() {
+    let c = cluster("workers-only", 3, 500);
+    let mut tick = 0;
+    let mut leader = |not: Option<usize>| {
+        wait_for("a leader", || {
+            (0..3).filter(|i| Some(*i) != not).find_map(|i| {
+                tick += 1;
+                let (status, baton) = check_in(&c.fronts[i], tick)?;
+                (status == 200).then_some((i, baton))
+            })
+        })
+    };
+    let (first, baton) = leader(None);
+    wait_for("taken", || {
+        submit(&c.fronts[first], &job("wk-000010", 6)).filter(|s| *s == 201)
+    });
+    c.ways[first].cut(true);
+    let (second, higher) = leader(Some(first));
+    assert!(higher > baton && second != first);
+    // It still hears workers, and answers none of them as their leader.
+    let (status, _) = check_in(&c.fronts[first], 1_000_000).unwrap();
+    assert!(status == 421 || status == 503, "{status}");
+    wait_for("done", || {
+        phase(&c.fronts[second], "wk-000010").filter(|p| p == "done")
+    });
+    // Users who ask the one cut off are served through a sibling.
+    let through = wait_for("a state", || phase(&c.fronts[first], "wk-000010"));
+    assert_eq!(through, "done");
+    c.ways[first].cut(false);
+    let mut all = c.launched.lock().unwrap().clone();
+    let n = all.len();
+    all.sort();
+    all.dedup();
+    assert_eq!(all.len(), n, "each task was launched once");
+}
+
+/// More connections than seats: users' idle ones make room, a worker's stays, and the controller
+/// goes on serving.
+#[test]
+fn a_full_table_spares_workers() {
+    let c = cluster("full", 1, 300);
+    let mut worker = TcpStream::connect(&c.fronts[0]).unwrap();
+    worker
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .unwrap();
+    let mut buf = Vec::new();
+    let mut report = |tick: u64| {
+        let body =
+            json!({"host": "host-900001", "endpoint": "127.0.0.1:1", "rig": "box", "site": "a",
+            "loaners": false, "tenure": 1, "tick": tick, "baton": 0, "recallS": null, "pieces": []})
+            .to_string();
+        let head = format!(
+            "POST /checkin HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        worker.write_all(head.as_bytes()).ok()?;
+        // An answer reads like a request: its first line, a head and a body.
+        read_request(&mut worker, &mut buf).map(|(_, status, _)| status)
+    };
+    assert!(report(1).is_some());
+    let mut idle: Vec<TcpStream> = (0..400)
+        .map(|_| TcpStream::connect(&c.fronts[0]).unwrap())
+        .collect();
+    wait_for("the first idle connection's end", || {
+        idle[0].set_nonblocking(true).unwrap();
+        matches!(idle[0].read(&mut [0u8; 1]), Ok(0)).then_some(())
+    });
+    assert!(report(2).is_some(), "the worker's connection stays");
+    wait_for("taken", || {
+        submit(&c.fronts[0], &job("wk-000020", 2)).filter(|s| *s == 201)
+    });
+    wait_for("done", || {
+        phase(&c.fronts[0], "wk-000020").filter(|p| p == "done")
+    });
+}
+
+#[test]
+fn three_processes_a_kill_and_a_restart() {
+    let mut c = cluster("loopback", 3, 500);
+    let (fronts, launched) = (c.fronts.clone(), c.launched.clone());
+    let nodes = &mut c.nodes;
     wait_for("machine types", || {
         submit(&fronts[0], &job("wk-000001", 4)).filter(|s| *s == 201 || *s == 200)
     });
@@ -545,6 +712,19 @@
     wait_for("done after the kills", || {
         phase(&fronts[0], "wk-000002").filter(|p| p == "done")
     });
+    // Requests that were carried out, repeated after the job is over.
+    for f in &fronts {
+        let (status, again) = http(
+            f,
+            "POST",
+            "/submissions",
+            job("wk-000001", 4).to_string().as_bytes(),
+        )
+        .unwrap();
+        assert_eq!((status, again["phase"].as_str()), (200, Some("done")));
+        let (status, late) = http(f, "POST", "/submissions/wk-000001/withdraw", b"").unwrap();
+        assert_eq!((status, late["phase"].as_str()), (200, Some("done")));
+    }
     // What is done stays done, a cancellation is final, and nothing was launched twice.
     assert_eq!(phase(&fronts[2], "wk-000001").as_deref(), Some("done"));
     wait_for("taken", || {
@@ -557,11 +737,12 @@
             phase(f, "wk-000003").as_deref(),
             withdrawn.1["phase"].as_str()
         );
+        let again = http(f, "POST", "/submissions/wk-000003/withdraw", b"").unwrap();
+        assert_eq!(again, withdrawn, "a withdrawal repeated");
     }
     let mut all = launched.lock().unwrap().clone();
     let n = all.len();
     all.sort();
     all.dedup();
     assert_eq!(all.len(), n, "each task was launched once");
-    let _ = std::fs::remove_dir_all(dir);
 }
