--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -107,9 +107,10 @@
 const REFUSED: Millis = Millis(300);
 /// An answer this late is taken for none, should the duty have lost it.
 const LOST: Millis = Millis(8_000);
-/// Bytes that a machine takes on its page, beyond its name, with the images named.
-const HOST_BYTES: usize = 50;
-const HOST_IMAGES: usize = 5;
+/// Bytes that a machine takes on its page, beyond its name, with some images named.
+const HOST_BYTES: usize = 60;
+/// Images named for each machine: the most that fits.
+const HOST_IMAGES: [usize; 4] = [16, 10, 6, 3];
 
 impl Writer {
     /// A writer that keeps within its part of the write rate.
@@ -327,10 +328,12 @@
 
     /// A page of machines as it is written: with hints about images, if they fit.
     fn hosts_page(&self, hosts: &BTreeSet<HostId>) -> serde_json::Value {
-        let full = self.hosts_page_with(hosts, HOST_IMAGES);
-        let size = full.to_string().len();
-        if size <= value_bytes(&self.policy.facts.state) {
-            return full;
+        let most = value_bytes(&self.policy.facts.state);
+        for images in HOST_IMAGES {
+            let page = self.hosts_page_with(hosts, images);
+            if page.to_string().len() <= most {
+                return page;
+            }
         }
         self.hosts_page_with(hosts, 0)
     }
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -1,7 +1,7 @@
 //! Campaigning for the leadership, and the duties of a leader: the lease, the watch on open jobs,
 //! the step loop, and carrying out what the core decides.
 
-use super::state_client::{StateError, TxnOutcome, CALL};
+use super::state_client::{StateError, TxnOutcome};
 use super::{lock, time_of_day_ms, Node};
 use crate::bookkeeping::records::{
     LeadRecord, OpenRecord, BATON, HINTS, HOSTS, INTENTS, LEAD, OPEN, PROGRESS,
@@ -289,31 +289,45 @@
     node.state.revoke(hold).await;
 }
 
-/// Touches the lease until authority is lost.
+/// Touches the lease until authority is lost. A touch doesn't wait for the answer to the one before.
+///
+/// Guards against a leader that ends a moment after a takeover: a thousand workers reported at once,
+/// answers waited in the sockets for longer than an ordinary call may take, and every touch was given
+/// up though it had been answered. Each is good from when it was sent, however late it is read.
 async fn renew(node: Arc<Node>, authority: Arc<Authority>, hold: Hold, end: CancellationToken) {
     let life = node.settings.operator.leader_life_ms;
-    let every = Duration::from_millis(life / 5);
+    let every = Duration::from_millis(life / TOUCHES);
+    let mut touches = tokio::task::JoinSet::new();
     loop {
         tokio::select! {
             _ = end.cancelled() => return,
             _ = tokio::time::sleep(every) => {}
         }
-        let sent = node.now();
-        match node.state.touch(hold, CALL).await {
-            Ok(()) => authority.renewed(sent),
-            Err(StateError::NoLease) => {
-                tracing::info!("the leader's lease is over");
-                authority.resign();
-            }
-            Err(_) => {}
-        }
+        while touches.try_join_next().is_some() {}
         if !authority.holds(node.now()) {
             end.cancel();
             return;
         }
+        if touches.len() < TOUCHES as usize {
+            let (node, authority) = (node.clone(), authority.clone());
+            touches.spawn(async move {
+                let sent = node.now();
+                match node.state.touch(hold, Duration::from_millis(life)).await {
+                    Ok(()) => authority.renewed(sent),
+                    Err(StateError::NoLease) => {
+                        tracing::info!("the leader's lease is over");
+                        authority.resign();
+                    }
+                    Err(_) => {}
+                }
+            });
+        }
     }
 }
 
+/// Touches in a lease's life, and so many at most under way.
+const TOUCHES: u64 = 5;
+
 /// Reads everything a new leader needs. All reads come after the leader key was written, so no
 /// former leader can add an intent that we miss: its writes are guarded by the old key.
 async fn inherit(node: &Node) -> Option<(Inheritance, Epoch)> {
