--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -38,6 +38,8 @@
 const LAST: usize = 12;
 /// How much the last job counts in the average size.
 const SIZE_NEW: f64 = 0.06;
+/// So many of the latest stretches may tell that arrivals have ebbed.
+const LULL: usize = 4;
 /// A stretch with so many more jobs than the others is a burst of its own.
 const OUTLIER: f64 = 3.0;
 
@@ -102,6 +104,7 @@
         };
         let from = (*first).max(now_n - STRETCHES);
         let mut counts: Vec<u32> = (from..now_n).map(|n| self.jobs_in(n)).collect();
+        let latest: Vec<u32> = counts.iter().rev().take(LULL).copied().collect();
         let last_two = match counts.as_slice() {
             [.., a, b] => f64::from(*a.min(b)),
             _ => 0.0,
@@ -121,7 +124,18 @@
         };
         // Two stretches well above what chance makes of the usual.
         let burst = last_two > usual + 2.0 * usual.sqrt() + 1.0;
-        (if burst { last_two } else { usual }) / STRETCH.secs()
+        if burst {
+            return last_two / STRETCH.secs();
+        }
+        // The latest stretches hold less than chance makes of the usual: arrivals have ebbed. Guards
+        // against machines kept for minutes for jobs that no longer come.
+        let ebbed = (2..=latest.len()).map(|k| {
+            let sum: f64 = latest.iter().take(k).copied().map(f64::from).sum();
+            (sum, k as f64)
+        });
+        let ebbed = ebbed.filter(|(sum, k)| *sum < usual * k - 2.5 * (usual * k).sqrt());
+        let least = ebbed.map(|(sum, k)| sum / k).fold(usual, f64::min);
+        least / STRETCH.secs()
     }
 
     fn jobs_in(&self, n: i64) -> u32 {
@@ -161,6 +175,13 @@
         }
     }
 
+    /// Whether nothing is to be expected, of any class; never while too little has been seen to tell.
+    pub(crate) fn ebbed(&self, now: Millis) -> bool {
+        let mut all = self.demand.values();
+        all.any(|d| d.stretches.len() > LULL)
+            && self.demand.values().all(|d| d.jobs_per_s(now) <= 0.0)
+    }
+
     /// Notes the arrival of a job.
     pub(crate) fn note_arrival(&mut self, spec: &JobSpec, at: Millis) {
         let d = self
@@ -201,6 +222,15 @@
         }
         let burst = d.jobs_per_s(Millis(140_000));
         assert!((burst - 4.0).abs() < 0.2, "{burst}");
+        let mut ebb = Demand::new(&spec(10));
+        for i in 0..100 {
+            ebb.note(&spec(10), Millis(i * 1000));
+        }
+        assert!(
+            ebb.jobs_per_s(Millis(110_000)) > 0.5,
+            "one quiet stretch is chance"
+        );
+        assert_eq!(ebb.jobs_per_s(Millis(130_000)), 0.0, "three are an ebb");
         assert_eq!(d.jobs_per_s(Millis(300_000)), 0.0, "nothing for long");
     }
 }
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -83,6 +83,8 @@
 /// no use for it and if it has.
 const SPARE: f64 = 0.6;
 const WANTED: f64 = 3.0;
+/// The same when nothing waits and nothing is to be expected.
+const NO_USE: f64 = 0.1;
 /// The forecast is made at most this often, and less often the more machines there are: it costs
 /// more than a placement does.
 const LOOK_EVERY: Millis = Millis(400);
@@ -374,6 +376,7 @@
 
     fn return_machines(&mut self, now: Millis) {
         let mut back: BTreeSet<HostId> = self.given_up(now);
+        let ebbed = self.indexes.waiting.is_empty() && self.ebbed(now);
         for m in self.machines.values() {
             if m.standing == Standing::Returning {
                 continue;
@@ -386,7 +389,11 @@
             let spare = self.fleet.spare.contains(&m.id);
             let keep_s = self.renewal_s(m)
                 * self.policy.operator.idle_boots
-                * if spare { SPARE } else { WANTED };
+                * match (spare, ebbed) {
+                    (_, true) => NO_USE,
+                    (true, _) => SPARE,
+                    (false, _) => WANTED,
+                };
             let idle = m.standing == Standing::Up
                 && !self.reserved.contains_key(&m.id)
                 && m.idle_since.is_some_and(|t| (now - t).secs() > keep_s);
