The wait for machines with the image begins anew while they come

Cause: large jobs did not wait at all, and a job that had waited once fetched for all that was left.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -51,6 +51,9 @@
 /// A job waits for machines that have its image for this part of the time that a fetch takes.
 const WAIT_PART: f64 = 0.5;
 
+/// All that is left of it should find such machines within so many fetches.
+const MOST_WAIT: f64 = 2.0;
+
 /// Tasks placed in one pass: what is left is placed in the next one, so that reports and the
 /// lease's renewal never wait for a whole wave.
 const MOST_PLACED: usize = 400;
@@ -451,7 +454,7 @@
         let soon_s = job.pending.len() as f64 * self.estimate_of(job) / slots.max(1e-9);
         let limit = Millis::from_secs(fetch_s * WAIT_PART);
         let over = job.waits_since.is_some_and(|t| now - t > limit);
-        if over || soon_s > fetch_s {
+        if over || soon_s > fetch_s * MOST_WAIT {
             return false;
         }
         let first: Vec<u32> = job.pending.iter().take(1).copied().collect();
@@ -579,6 +582,10 @@
             return left;
         }
         pass.placed += plan.len();
+        if let Some(job) = self.jobs.get_mut(id).filter(|_| pass.cached) {
+            // What it waits for does come.
+            job.waits_since = None;
+        }
         let latency = self.graph.label(id) == Label::Latency;
         for (index, host) in plan {
             let piece = PieceId {
