--- a/src/duties/users.rs
+++ b/src/duties/users.rs
@@ -155,6 +155,7 @@
     if let Some(reason) = never_runs(&spec, &rigs, &node.policy.facts.teams) {
         return if_known(node, Some(&id), Reply::error(422, &reason)).await;
     }
+    let (class, team) = (spec.class.clone(), spec.team.clone());
     let record = OpenRecord {
         spec,
         at_ms: time_of_day_ms(),
@@ -177,7 +178,7 @@
     match node.state.txn(&txn).await {
         Ok(TxnOutcome::Applied(epoch)) => {
             node.leader.nudge();
-            tracing::debug!(job = %id, epoch = %epoch, "accepted");
+            tracing::debug!(job = %id, epoch = %epoch, class, team, "accepted");
             accepted(201, &id, JobPhase::Queued)
         }
         // Known already, or an unclear outcome: settled by reading before anything is answered.
