--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -93,8 +93,8 @@
 const LOG_EVERY: Millis = Millis(10_000);
 /// What to return is looked for this often.
 const SWEEP_EVERY: Millis = Millis(500);
-/// Machines rented in one look: their boot is seen before more are asked for.
-const MOST_RENTED: usize = 400;
+/// Machines rented in one look: what can be asked for in so many seconds at the cloud's rate.
+const LOOK_S: f64 = 2.0;
 
 impl Core {
     pub(crate) fn boot_s(&self, rig: &Rig) -> f64 {
@@ -240,7 +240,8 @@
             return;
         }
         self.fleet.looked = now;
-        let seen = self.look_ahead(now, unmet, MOST_RENTED);
+        let calls = (self.policy.facts.cloud.rps * CALLS * LOOK_S).max(1.0);
+        let seen = self.look_ahead(now, unmet, calls as usize * MOST_PER_HIRE as usize);
         tracing::debug!(
             unmet = unmet.len(),
             tasks = unmet.iter().map(|u| u.count).sum::<u32>(),
--- /dev/null
+++ b/src/coordination/images.rs
@@ -0,0 +1,110 @@
+//! Where images are, and which jobs go there: Parrot's preference for sharing, as far as it concerns
+//! waiting for it.
+
+use super::placement::{Need, Pass};
+use super::Core;
+use crate::bookkeeping::ledger::{Machine, Standing};
+use crate::ids::{Image, JobId, Millis, Rig};
+use crate::protocol::users::{JobSpec, Shape};
+use std::collections::BTreeMap;
+
+/// A job waits for machines that have its image for this part of the time that a fetch takes.
+const WAIT_PART: f64 = 0.5;
+
+/// All that is left of it should find such machines within so many fetches.
+const MOST_WAIT: f64 = 2.0;
+
+impl Core {
+    /// Whether a job leaves the room there is to jobs behind it that need not fetch their image, for
+    /// machines that have its own should come free soon. It does so for no longer than a part of the
+    /// fetch that it spares itself, counted from when it could first have taken something.
+    ///
+    /// Guards against every image being fetched to every machine while there is too much to do: what
+    /// came free was taken at once by the first job in the queue, and half of all starts fetched.
+    pub(super) fn waits_for_image(&mut self, now: Millis, id: &JobId, pass: &Pass) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let spec = &job.spec;
+        if spec.shape != Shape::Array || job.pending.is_empty() || self.aged(job, now) {
+            return false;
+        }
+        let need = Need::of(spec);
+        if pass.full.iter().any(|f| need.covers(f)) {
+            return false;
+        }
+        let fetch_s = self.shortest_fetch_s(spec);
+        let slots = self.image_room.get(&spec.image).copied().unwrap_or(0.0) / spec.gpus.max(0.1);
+        let soon_s = job.pending.len() as f64 * self.estimate_of(job) / slots.max(1e-9);
+        let limit = Millis::from_secs(fetch_s * WAIT_PART);
+        let over = job.waits_since.is_some_and(|t| now - t > limit);
+        if over || soon_s > fetch_s * MOST_WAIT {
+            return false;
+        }
+        let first: Vec<u32> = job.pending.iter().take(1).copied().collect();
+        if self.headroom(spec, job.team, &pass.used) == 0
+            || self.plan(now, id, spec, &first, None, pass).is_empty()
+        {
+            return false;
+        }
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.waits_since.get_or_insert(now);
+        }
+        true
+    }
+
+    /// Seconds that the image takes to fetch on the type of machine that is quickest at it.
+    fn shortest_fetch_s(&self, spec: &JobSpec) -> f64 {
+        self.rigs
+            .keys()
+            .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(r)))
+            .map(|r| self.fetch_s(r, spec.image_gb))
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Once a second: how much room there is, free or not, where each image is cached.
+    pub(crate) fn recheck_images(&mut self) {
+        let mut room: BTreeMap<Image, f64> = BTreeMap::new();
+        for m in self.machines.values() {
+            if m.standing != Standing::Up || m.drain || m.recall_at.is_some() {
+                continue;
+            }
+            let gpus = self.capacity(&m.rig).gpus;
+            for (image, _) in &m.images {
+                match room.get_mut(image) {
+                    Some(r) => *r += gpus,
+                    None => drop(room.insert(image.clone(), gpus)),
+                }
+            }
+        }
+        self.image_room = room;
+    }
+
+    /// Seconds until the image would be there: none if cached, the rest if being fetched.
+    pub(crate) fn wait_for_image(&self, now: Millis, m: &Machine, spec: &JobSpec) -> f64 {
+        if m.has_image(&spec.image) {
+            return 0.0;
+        }
+        let whole = self.fetch_s(&m.rig, spec.image_gb);
+        let fetching = |image: &Option<Image>| image.as_ref() == Some(&spec.image);
+        let under_way = m
+            .going()
+            .filter(|s| s.running_since.is_none() && fetching(&s.image))
+            .map(|s| s.since)
+            .min();
+        match under_way {
+            Some(since) => (whole - (now - since).secs()).max(0.0),
+            None => whole,
+        }
+    }
+
+    /// Seconds that a machine of the type takes to fetch so much.
+    pub(crate) fn fetch_s(&self, rig: &Rig, gb: f64) -> f64 {
+        let rate = self.rigs.get(rig).map_or(0.0, |r| r.fetch_gb_per_s);
+        if rate > 0.0 {
+            gb / rate
+        } else {
+            0.0
+        }
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod forecast;
 pub mod graph;
+pub mod images;
 pub mod leadership;
 pub mod placement;
 pub mod preemption;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -9,7 +9,7 @@
 use super::Core;
 use crate::bookkeeping::ledger::{within, Amount, Job, Machine, Standing};
 use crate::bookkeeping::pages::StartKey;
-use crate::ids::{HostId, Image, JobId, Millis, PieceId, Rig, Site, TeamNo, Try};
+use crate::ids::{HostId, JobId, Millis, PieceId, Rig, Site, TeamNo, Try};
 use crate::protocol::users::{JobSpec, Shape, Urgency};
 use serde::{Deserialize, Serialize};
 use std::cmp::{Ordering, Reverse};
@@ -48,27 +48,21 @@
 /// Machines a job has failed on are avoided up to this many; past it, it is the job that is bad.
 const AVOID: usize = 3;
 
-/// A job waits for machines that have its image for this part of the time that a fetch takes.
-const WAIT_PART: f64 = 0.5;
-
-/// All that is left of it should find such machines within so many fetches.
-const MOST_WAIT: f64 = 2.0;
-
 /// Tasks placed in one pass: what is left is placed in the next one, so that reports and the
 /// lease's renewal never wait for a whole wave.
 const MOST_PLACED: usize = 400;
 
 /// What a pass works with.
-struct Pass {
+pub(super) struct Pass {
     attempt: Try,
     /// What teams use, and what is kept for jobs that their team's limit holds up.
-    used: Vec<Amount>,
+    pub(super) used: Vec<Amount>,
     /// Machines kept for large tasks.
     kept: BTreeSet<HostId>,
     /// Jobs for which a machine was emptied.
     favoured: BTreeSet<JobId>,
     /// Needs for which there was no room: nothing as large or larger has to look again.
-    full: Vec<Need>,
+    pub(super) full: Vec<Need>,
     placed: usize,
     /// Only machines that have the image will do for now.
     cached: bool,
@@ -76,7 +70,7 @@
 
 /// What a task asks of a machine, as far as the machine's kind and room go.
 #[derive(Clone)]
-struct Need {
+pub(super) struct Need {
     amount: Amount,
     class: String,
     spot: bool,
@@ -85,7 +79,7 @@
 }
 
 impl Need {
-    fn of(spec: &JobSpec) -> Need {
+    pub(super) fn of(spec: &JobSpec) -> Need {
         Need {
             amount: Amount::of(spec),
             class: spec.class.clone(),
@@ -95,7 +89,7 @@
         }
     }
     /// Whether a task with this need is at least as hard to place as `o`.
-    fn covers(&self, o: &Need) -> bool {
+    pub(super) fn covers(&self, o: &Need) -> bool {
         o.amount.fits(&self.amount)
             && self.class == o.class
             && (o.spot || !self.spot)
@@ -431,71 +425,6 @@
         }
     }
 
-    /// Whether a job leaves the room there is to jobs behind it that need not fetch their image, for
-    /// machines that have its own should come free soon. It does so for no longer than a part of the
-    /// fetch that it spares itself, counted from when it could first have taken something.
-    ///
-    /// Guards against every image being fetched to every machine while there is too much to do: what
-    /// came free was taken at once by the first job in the queue, and half of all starts fetched.
-    fn waits_for_image(&mut self, now: Millis, id: &JobId, pass: &Pass) -> bool {
-        let Some(job) = self.jobs.get(id) else {
-            return false;
-        };
-        let spec = &job.spec;
-        if spec.shape != Shape::Array || job.pending.is_empty() || self.aged(job, now) {
-            return false;
-        }
-        let need = Need::of(spec);
-        if pass.full.iter().any(|f| need.covers(f)) {
-            return false;
-        }
-        let fetch_s = self.shortest_fetch_s(spec);
-        let slots = self.image_room.get(&spec.image).copied().unwrap_or(0.0) / spec.gpus.max(0.1);
-        let soon_s = job.pending.len() as f64 * self.estimate_of(job) / slots.max(1e-9);
-        let limit = Millis::from_secs(fetch_s * WAIT_PART);
-        let over = job.waits_since.is_some_and(|t| now - t > limit);
-        if over || soon_s > fetch_s * MOST_WAIT {
-            return false;
-        }
-        let first: Vec<u32> = job.pending.iter().take(1).copied().collect();
-        if self.headroom(spec, job.team, &pass.used) == 0
-            || self.plan(now, id, spec, &first, None, pass).is_empty()
-        {
-            return false;
-        }
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.waits_since.get_or_insert(now);
-        }
-        true
-    }
-
-    /// Seconds that the image takes to fetch on the type of machine that is quickest at it.
-    fn shortest_fetch_s(&self, spec: &JobSpec) -> f64 {
-        self.rigs
-            .keys()
-            .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(r)))
-            .map(|r| self.fetch_s(r, spec.image_gb))
-            .fold(f64::INFINITY, f64::min)
-    }
-
-    /// Once a second: how much room there is, free or not, where each image is cached.
-    pub(crate) fn recheck_images(&mut self) {
-        let mut room: BTreeMap<Image, f64> = BTreeMap::new();
-        for m in self.machines.values() {
-            if m.standing != Standing::Up || m.drain || m.recall_at.is_some() {
-                continue;
-            }
-            let gpus = self.capacity(&m.rig).gpus;
-            for (image, _) in &m.images {
-                match room.get_mut(image) {
-                    Some(r) => *r += gpus,
-                    None => drop(room.insert(image.clone(), gpus)),
-                }
-            }
-        }
-        self.image_room = room;
-    }
-
     /// How many more tasks the team's limit lets start.
     pub(crate) fn headroom(&self, spec: &JobSpec, team: Option<TeamNo>, used: &[Amount]) -> u32 {
         let (Some(no), Some(team)) = (team, self.policy.team(team)) else {
@@ -726,7 +655,7 @@
     }
 
     /// Chooses machines for as many of the tasks as fit.
-    fn plan(
+    pub(super) fn plan(
         &self,
         now: Millis,
         id: &JobId,
@@ -799,34 +728,6 @@
         plan
     }
 
-    /// Seconds until the image would be there: none if cached, the rest if being fetched.
-    pub(crate) fn wait_for_image(&self, now: Millis, m: &Machine, spec: &JobSpec) -> f64 {
-        if m.has_image(&spec.image) {
-            return 0.0;
-        }
-        let whole = self.fetch_s(&m.rig, spec.image_gb);
-        let fetching = |image: &Option<Image>| image.as_ref() == Some(&spec.image);
-        let under_way = m
-            .going()
-            .filter(|s| s.running_since.is_none() && fetching(&s.image))
-            .map(|s| s.since)
-            .min();
-        match under_way {
-            Some(since) => (whole - (now - since).secs()).max(0.0),
-            None => whole,
-        }
-    }
-
-    /// Seconds that a machine of the type takes to fetch so much.
-    pub(crate) fn fetch_s(&self, rig: &Rig, gb: f64) -> f64 {
-        let rate = self.rigs.get(rig).map_or(0.0, |r| r.fetch_gb_per_s);
-        if rate > 0.0 {
-            gb / rate
-        } else {
-            0.0
-        }
-    }
-
     fn dislike(m: &Machine, spec: &JobSpec, latency: bool) -> f64 {
         let mut cost = 0.0;
         if spec.spot && !m.spot {
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -14,7 +14,7 @@
 use std::convert::Infallible;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use tower_service::Service;
@@ -110,12 +110,13 @@
 }
 
 /// Leaves the seat however the connection ends.
+struct Leaving(Seated);
+
 impl Drop for Leaving {
     fn drop(&mut self) {
         self.0.seats.lock().seats.remove(&self.0.no);
     }
 }
-struct Leaving(Seated);
 
 /// Serves until stopped; a connection on which no request begins for `idle` is closed.
 pub async fn serve<S, B>(
@@ -147,71 +148,49 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
+        let _ = stream.set_nodelay(true);
         let close = stop.child_token();
-        let no = seats.take(close.clone());
         let seated = Seated {
+            no: seats.take(close.clone()),
             seats: seats.clone(),
-            no,
         };
-        tasks.spawn(connection(
-            http.clone(),
-            stream,
-            seated,
-            close,
-            service.clone(),
-        ));
+        let leaving = Leaving(seated.clone());
+        let service = service.clone();
+        let answer = service_fn(move |mut request: Request<Incoming>| {
+            let seated = seated.clone();
+            let mut service = service.clone();
+            seated.seats.change(seated.no, |s| s.busy = true);
+            request.extensions_mut().insert(seated.clone());
+            async move {
+                let answer = service.call(request).await;
+                seated.seats.change(seated.no, |s| {
+                    s.busy = false;
+                    s.used = Instant::now();
+                });
+                answer
+            }
+        });
+        let serving = http.serve_connection(TokioIo::new(stream), answer);
+        tasks.spawn(async move {
+            let _leaving = leaving;
+            let mut serving = std::pin::pin!(serving);
+            let ended = tokio::select! {
+                ended = serving.as_mut() => ended,
+                _ = close.cancelled() => {
+                    // What is being answered is answered to its end; nothing new begins.
+                    serving.as_mut().graceful_shutdown();
+                    serving.await
+                }
+            };
+            if let Err(e) = ended {
+                tracing::debug!(error = %e, "a connection ended");
+            }
+        });
     }
     tasks.close();
     tasks.wait().await;
 }
 
-async fn connection<S, B>(
-    http: http1::Builder,
-    stream: TcpStream,
-    seated: Seated,
-    close: CancellationToken,
-    service: S,
-) where
-    S: Service<Request<Incoming>, Response = Response<B>, Error = Infallible>
-        + Clone
-        + Send
-        + 'static,
-    S::Future: Send,
-    B: hyper::body::Body + Send + 'static,
-    B::Data: Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let _leaving = Leaving(seated.clone());
-    let _ = stream.set_nodelay(true);
-    let answer = service_fn(move |mut request: Request<Incoming>| {
-        let seated = seated.clone();
-        let mut service = service.clone();
-        seated.seats.change(seated.no, |s| s.busy = true);
-        request.extensions_mut().insert(seated.clone());
-        async move {
-            let answer = service.call(request).await;
-            seated.seats.change(seated.no, |s| {
-                s.busy = false;
-                s.used = Instant::now();
-            });
-            answer
-        }
-    });
-    let serving = http.serve_connection(TokioIo::new(stream), answer);
-    let mut serving = std::pin::pin!(serving);
-    let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
-        _ = close.cancelled() => {
-            // What is being answered is answered to its end; nothing new begins.
-            serving.as_mut().graceful_shutdown();
-            serving.await
-        }
-    };
-    if let Err(e) = ended {
-        tracing::debug!(error = %e, "a connection ended");
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
