--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -105,6 +105,8 @@
     pub ran: u32,
     /// A task of it has run, or may have under a former leader.
     pub begun: bool,
+    /// A gang of whose last try a member gave up waiting for the others.
+    pub incomplete: bool,
     /// Since when it has left room to jobs whose image is at hand.
     pub waits_since: Option<Millis>,
     /// No start before this: backs off after failures.
@@ -133,6 +135,7 @@
             ran_most_s: 0.0,
             ran: 0,
             begun: false,
+            incomplete: false,
             waits_since: None,
             not_before: Millis(i64::MIN / 4),
             failures: 0,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -511,6 +511,9 @@
             return left;
         }
         pass.placed += plan.len();
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.incomplete = false;
+        }
         if let Some(job) = self.jobs.get_mut(id).filter(|_| pass.cached) {
             // What it waits for does come.
             job.waits_since = None;
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -266,7 +266,8 @@
         }
         let was = before.map(|b| b.phase);
         if p.phase == PiecePhase::Waiting && was != Some(PiecePhase::Waiting) {
-            // Members that had their image at once may be launched now.
+            // It has its image; members that had theirs at once may be launched now.
+            self.note_image(now, host, &p.piece.job);
             if let Some(job) = self.jobs.get(&p.piece.job) {
                 self.direct_due
                     .extend(job.places.values().flatten().cloned());
@@ -419,6 +420,7 @@
     /// A start ended on its machine. It stays there as a tombstone until cleared.
     fn ended(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try), cause: Cause) {
         let (piece, _) = key;
+        let lease = Millis::from_secs(self.policy.facts.workers.lease_s);
         tracing::debug!(piece = %piece, host = %host, cause = ?cause, "ended");
         self.note_idle(now, host);
         if cause == Cause::Done {
@@ -456,7 +458,16 @@
                     m.full_until = now + Millis(6000);
                 }
             }
-            Cause::Done | Cause::Stopped | Cause::MatesGone | Cause::Incomplete => {}
+            Cause::Incomplete => {
+                // Its image is there: the machine is kept for when the others have theirs.
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.kept_for = Some((piece.job.clone(), now + lease));
+                }
+                if let Some(job) = self.jobs.get_mut(&piece.job) {
+                    job.incomplete = true;
+                }
+            }
+            Cause::Done | Cause::Stopped | Cause::MatesGone => {}
         }
     }
 
@@ -593,7 +604,7 @@
         for host in std::mem::take(&mut self.to_review) {
             self.review(now, &host);
         }
-        self.stop_broken_gangs();
+        self.stop_broken_gangs(now);
     }
 
     fn review(&mut self, now: Millis, host: &HostId) {
@@ -662,7 +673,9 @@
 
     /// A gang of which a member is stopped or lost stops as a whole: its members would only wait
     /// for each other, and an orderly stop must reach all of them within `gang_peer_s`.
-    fn stop_broken_gangs(&mut self) {
+    fn stop_broken_gangs(&mut self, now: Millis) {
+        let lease = Millis::from_secs(self.policy.facts.workers.lease_s);
+        let mut waiting = BTreeSet::new();
         for id in std::mem::take(&mut self.gangs_due) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
@@ -678,6 +691,23 @@
             if !stopping && job.pending.is_empty() {
                 continue;
             }
+            // Guards against a fetch given up when it was nearly done: a member that had its image
+            // sooner gave up waiting, and with it went the fetch of the other, again and again. The
+            // others are stopped, which they are at once, when they have theirs too.
+            let fetches = |m: &Machine| {
+                m.going().any(|s| {
+                    let seen = s.seen.map(|x| x.phase);
+                    s.piece.job == id && seen == Some(PiecePhase::Fetching)
+                })
+            };
+            let fetching = hosts
+                .iter()
+                .any(|h| self.machines.get(h).is_some_and(fetches));
+            if job.incomplete && !stopping && fetching {
+                waiting.insert(id);
+                continue;
+            }
+            let again = job.incomplete;
             let grace_s = if job.pending.is_empty() {
                 job.spec.save_s + 2.0
             } else {
@@ -687,6 +717,9 @@
                 let Some(m) = self.machines.get_mut(&host) else {
                     continue;
                 };
+                if again {
+                    m.kept_for = Some((id.clone(), now + lease));
+                }
                 for s in m.starts.values_mut() {
                     if s.piece.job == id && !s.ended() && s.stop.is_none() {
                         s.stop = Some(StopWish {
@@ -699,6 +732,7 @@
                 self.direct_due.insert(host);
             }
         }
+        self.gangs_due = waiting;
     }
 
     /// Whether an ended start may be cleared: its outcome is durable (or of no interest), and no
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -214,6 +214,10 @@
             let h = machine(w, &words);
             w.workers.get_mut(&h).unwrap().sick = true;
         }
+        "slow-fetch" => {
+            let h = machine(w, &words);
+            w.workers.get_mut(&h).unwrap().fetch_times = words.num("times", 2.0);
+        }
         "take" => {
             let h = machine(w, &words);
             w.workers.remove(&h);
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -32,6 +32,8 @@
     pub lease_from: Millis,
     pub tasks: BTreeMap<(PieceId, Try), Task>,
     pub sick: bool,
+    /// Images take so many times as long.
+    pub fetch_times: f64,
     pub recall_at: Option<Millis>,
     tick: u64,
     images: BTreeSet<Image>,
@@ -59,6 +61,7 @@
             lease_from: up,
             tasks: BTreeMap::new(),
             sick: false,
+            fetch_times: 1.0,
             recall_at: None,
             tick: 0,
             images: BTreeSet::new(),
@@ -241,7 +244,7 @@
                 let fetch = if self.images.contains(&spec.image) {
                     0.0
                 } else {
-                    spec.image_gb / rig.fetch_gb_per_s
+                    spec.image_gb / rig.fetch_gb_per_s * self.fetch_times
                 };
                 let left_s = progress.get(piece).copied().unwrap_or(runs[&piece.job]);
                 let mut t = Task {
