--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -7,7 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -355,6 +355,8 @@
 struct Way {
     addr: SocketAddr,
     cut: Arc<AtomicBool>,
+    /// Answers are held back by so much.
+    delay_ms: Arc<AtomicU64>,
 }
 
 impl Way {
@@ -363,21 +365,27 @@
         let addr = listener.local_addr().unwrap();
         let cut = Arc::new(AtomicBool::new(false));
         let held = cut.clone();
+        let delay_ms = Arc::new(AtomicU64::new(0));
+        let late = delay_ms.clone();
         std::thread::spawn(move || {
             for from in listener.incoming().flatten() {
                 if held.load(Ordering::Relaxed) {
                     continue;
                 }
                 let to = TcpStream::connect(target).unwrap();
-                for (a, b) in [(&from, &to), (&to, &from)] {
+                for (a, b, answers) in [(&from, &to, false), (&to, &from, true)] {
                     let (mut a, mut b) = (a.try_clone().unwrap(), b.try_clone().unwrap());
-                    let cut = held.clone();
+                    let (cut, late) = (held.clone(), late.clone());
                     a.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
                     std::thread::spawn(move || {
                         let mut part = [0u8; 16384];
                         while !cut.load(Ordering::Relaxed) {
                             match a.read(&mut part) {
                                 Ok(n) if n > 0 => {
+                                    if answers {
+                                        let ms = late.load(Ordering::Relaxed);
+                                        std::thread::sleep(Duration::from_millis(ms));
+                                    }
                                     if b.write_all(&part[..n]).is_err() {
                                         break;
                                     }
@@ -392,7 +400,11 @@
                 }
             }
         });
-        Way { addr, cut }
+        Way {
+            addr,
+            cut,
+            delay_ms,
+        }
     }
     fn cut(&self, on: bool) {
         self.cut.store(on, Ordering::Relaxed);
@@ -407,10 +419,16 @@
 
 impl Node {
     fn start(config: &std::path::Path, front: &str) -> Node {
+        let own = config.with_file_name("operator.json");
+        let own = own.exists().then_some(own);
         let log = std::env::var("LOOPBACK_LOG").is_ok();
         let child = Command::new(env!("CARGO_BIN_EXE_chalklug"))
             .args(["serve", "--config"])
             .arg(config)
+            .args(
+                own.iter()
+                    .flat_map(|f| [std::ffi::OsStr::new("--operator"), f.as_os_str()]),
+            )
             .stderr(if log { Stdio::inherit() } else { Stdio::null() })
             .spawn()
             .unwrap();
@@ -548,7 +566,7 @@
     }
 }
 
-fn cluster(name: &str, n: usize, max_sockets: usize) -> Cluster {
+fn cluster(name: &str, n: usize, max_sockets: usize, operator: Option<&str>) -> Cluster {
     let ports = free_ports(2 * n);
     let fronts: Vec<String> = (0..n).map(|i| format!("127.0.0.1:{}", ports[i])).collect();
     let launched = Arc::new(Mutex::new(Vec::new()));
@@ -557,6 +575,9 @@
     let cloud = cloud(fronts.clone(), launched.clone());
     let dir = std::env::temp_dir().join(format!("chalklug-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
+    if let Some(text) = operator {
+        std::fs::write(dir.join("operator.json"), text).unwrap();
+    }
     let nodes: Vec<Node> = (0..n)
         .map(|i| {
             let siblings: String = (0..n)
@@ -605,7 +626,7 @@
 /// can lead, and nothing is launched twice.
 #[test]
 fn a_leader_with_workers_only_falls_silent() {
-    let c = cluster("workers-only", 3, 500);
+    let c = cluster("workers-only", 3, 500, None);
     let mut tick = 0;
     let mut leader = |not: Option<usize>| {
         wait_for("a leader", || {
@@ -640,11 +661,27 @@
     assert_eq!(all.len(), n, "each task was launched once");
 }
 
+/// Answers of the state service come later than an ordinary call waits for them: the leader's lease is
+/// renewed all the same, so it still leads when its first life is long over.
+#[test]
+fn late_answers_renew_the_lease() {
+    let c = cluster("late", 1, 500, Some(r#"{"leader_life_ms": 15000}"#));
+    let mut tick = 0;
+    let mut leads = || {
+        tick += 1;
+        check_in(&c.fronts[0], tick).filter(|(status, _)| *status == 200)
+    };
+    let (_, baton) = wait_for("a leader", &mut leads);
+    c.ways[0].delay_ms.store(2000, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_secs(20));
+    assert_eq!(leads(), Some((200, baton)));
+}
+
 /// More connections than seats: users' idle ones make room, a worker's stays, and the controller
 /// goes on serving.
 #[test]
 fn a_full_table_spares_workers() {
-    let c = cluster("full", 1, 300);
+    let c = cluster("full", 1, 300, None);
     let mut worker = TcpStream::connect(&c.fronts[0]).unwrap();
     worker
         .set_read_timeout(Some(Duration::from_secs(10)))
@@ -682,7 +719,7 @@
 
 #[test]
 fn three_processes_a_kill_and_a_restart() {
-    let mut c = cluster("loopback", 3, 500);
+    let mut c = cluster("loopback", 3, 500, None);
     let (fronts, launched) = (c.fronts.clone(), c.launched.clone());
     let nodes = &mut c.nodes;
     wait_for("machine types", || {
