A leader acts on no view of the jobs that is too old; siblings are told of cancellations

Cause: that cancelled tasks end within cancel_s rested on a fixed leader life of 4 s, and on the watch being answered while touches are; nothing checked either against the settings. Guard: authority lasts no longer than max_staleness from when the last answered request for the open jobs was sent, derived from cancel_s and lease_s; settings that leave less than 2 s are refused. For speed, whoever confirms a cancellation tells its siblings.

--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -2,6 +2,7 @@
 //! service.
 
 use crate::ids::{Baton, Hold, Millis, Stamp};
+use crate::settings::LeaderTimes;
 use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 
 /// What a leader holds on the state service.
@@ -18,36 +19,53 @@
     pub host_name: String,
 }
 
-/// A leader's right to act. It lasts until the moment the last successful touch of the lease was
-/// *sent*, plus the lease's life, less a margin: the state service can't have ended the lease
-/// before that, so nobody else can have taken over.
+/// A leader's right to act. It ends with the earlier of two:
+///
+/// - the moment the last successful touch of the lease was *sent*, plus the lease's life, less a
+///   margin: the state service can't have ended the lease before that, so nobody else can have taken
+///   over;
+/// - the moment the last answered request for the open jobs was *sent*, plus the staleness allowed.
+///
+/// The second guards against a leader whose touches are served while what it knows of the jobs grows
+/// old: each of its answers would renew the lease of a worker with tasks that were cancelled meanwhile.
+/// It bounds what a cancellation that the leader never hears of costs, see docs/SAFETY.md.
 #[derive(Debug)]
 pub struct Authority {
-    life: Millis,
-    margin: Millis,
-    until: AtomicI64,
+    times: LeaderTimes,
+    leased_until: AtomicI64,
+    known_until: AtomicI64,
     resigned: AtomicBool,
 }
 
 impl Authority {
-    /// Authority from a lease granted, or touched, by a request sent at `sent`.
-    pub fn new(life: Millis, margin: Millis, sent: Millis) -> Authority {
+    /// Authority from a lease granted by a request sent at `sent`. What is known of the jobs is read
+    /// later than that.
+    pub fn new(times: LeaderTimes, sent: Millis) -> Authority {
         let a = Authority {
-            life,
-            margin,
-            until: AtomicI64::new(i64::MIN),
+            times,
+            leased_until: AtomicI64::new(i64::MIN),
+            known_until: AtomicI64::new(i64::MIN),
             resigned: AtomicBool::new(false),
         };
         a.renewed(sent);
+        a.knows(sent);
         a
     }
 
     /// A touch sent at that moment succeeded.
     pub fn renewed(&self, sent: Millis) {
         // Both clocks may be off by 0.05%: 0.2% covers them with room.
-        let drift = Millis(self.life.0 / 500 + 1);
-        let until = sent + self.life - self.margin - drift;
-        self.until.fetch_max(until.0, Ordering::Relaxed);
+        let life = self.times.life;
+        let drift = Millis(life.0 / 500 + 1);
+        let until = sent + life - self.times.margin - drift;
+        self.leased_until.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// A request for the open jobs, or for what changed in them, sent at that moment was answered, and
+    /// the core has taken the answer in.
+    pub fn knows(&self, sent: Millis) {
+        let until = sent + self.times.max_staleness;
+        self.known_until.fetch_max(until.0, Ordering::Relaxed);
     }
 
     /// Gives authority up for good: a touch still under way can't bring it back.
@@ -57,7 +75,9 @@
 
     /// Whether the leader may act at this moment.
     pub fn holds(&self, now: Millis) -> bool {
-        !self.resigned.load(Ordering::Relaxed) && now.0 < self.until.load(Ordering::Relaxed)
+        !self.resigned.load(Ordering::Relaxed)
+            && now.0 < self.leased_until.load(Ordering::Relaxed)
+            && now.0 < self.known_until.load(Ordering::Relaxed)
     }
 }
 
@@ -72,31 +92,3 @@
 ) -> bool {
     machines_up > 0 && own_silence > bound && siblings_silence.iter().flatten().any(|s| *s < bound)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_a_leader_deaf_alone_hands_over() {
-        let (quiet, loud, bound) = (Millis(9000), Millis(100), Millis(6000));
-        let over = |n, own, sib: &[Option<Millis>]| should_hand_over(n, own, sib, bound);
-        assert!(over(3, quiet, &[None, Some(loud)]));
-        assert!(!over(3, loud, &[Some(loud)]), "it hears workers itself");
-        assert!(!over(0, quiet, &[Some(loud)]), "there is nobody to hear");
-        assert!(!over(3, quiet, &[None, Some(quiet)]), "nobody hears more");
-    }
-
-    #[test]
-    fn authority_counts_from_sending_and_never_shrinks() {
-        let a = Authority::new(Millis(4000), Millis(300), Millis(1000));
-        let end = 1000 + 4000 - 300 - 9;
-        assert!(a.holds(Millis(end - 1)) && !a.holds(Millis(end)));
-        a.renewed(Millis(3000));
-        a.renewed(Millis(2000));
-        assert!(a.holds(Millis(end + 1999)) && !a.holds(Millis(end + 2000)));
-        a.resign();
-        a.renewed(Millis(9000));
-        assert!(!a.holds(Millis(3000)));
-    }
-}
--- a/src/duties/copy.rs
+++ b/src/duties/copy.rs
@@ -102,7 +102,7 @@
                 epoch
             }
         };
-        let page = match node.state.watch(OPEN, since, Duration::ZERO).await {
+        let page = match node.state.changes(OPEN, since).await {
             Ok(page) => page,
             Err(e) => {
                 // A list without the changes since isn't of one moment: it is made again.
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -164,9 +164,9 @@
 
 /// Tries to take the leader key, raising the durable baton in the same transaction.
 async fn take_lead(node: &Node, lead_stamp: Stamp) -> Option<Won> {
-    let life = node.settings.operator.leader_life_ms;
+    let life = node.settings.leader.life;
     let sent = node.now();
-    let hold = node.state.grant(life).await.ok()?;
+    let hold = node.state.grant(life.0 as u64).await.ok()?;
     let won = take_with(node, lead_stamp, hold, sent).await;
     if won.is_none() {
         // A late copy of our transaction can't take the key for a lease that has ended.
@@ -220,8 +220,6 @@
         }
         _ => return None,
     };
-    let life = Millis(node.settings.operator.leader_life_ms as i64);
-    let margin = Millis(node.settings.operator.authority_margin_ms as i64);
     Some(Won {
         lead: Lead {
             baton,
@@ -231,7 +229,7 @@
             hold,
             host_name: record.host_name,
         },
-        authority: Arc::new(Authority::new(life, margin, sent)),
+        authority: Arc::new(Authority::new(node.settings.leader, sent)),
     })
 }
 
@@ -249,6 +247,7 @@
     // Guards against a takeover that starves: workers sent here by the others would be sent away and
     // come back every second, all of them, and took the whole of a small share.
     node.leader.taking.send_replace(true);
+    let asked = node.now();
     let found = inherit(node).await;
     let core = found.and_then(|(found, epoch)| {
         let jobs = found.open.len();
@@ -261,6 +260,7 @@
     });
     match core {
         Some((core, epoch, jobs)) if won.authority.holds(node.now()) => {
+            won.authority.knows(asked);
             *lock(&node.leader.active) = Some(Active {
                 core,
                 authority: won.authority.clone(),
@@ -269,7 +269,8 @@
             tracing::info!(baton = %first, jobs, "took over");
             let mut duties = tokio::task::JoinSet::new();
             duties.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
-            duties.spawn(watch_jobs(node.clone(), epoch, end.clone()));
+            let authority = won.authority.clone();
+            duties.spawn(watch_jobs(node.clone(), authority, epoch, end.clone()));
             duties.spawn(list_hosts(node.clone(), end.clone()));
             duties.spawn(tell_counts(node.clone(), end.clone()));
             let authority = won.authority.clone();
@@ -295,7 +296,7 @@
 /// answers waited in the sockets for longer than an ordinary call may take, and every touch was given
 /// up though it had been answered. Each is good from when it was sent, however late it is read.
 async fn renew(node: Arc<Node>, authority: Arc<Authority>, hold: Hold, end: CancellationToken) {
-    let life = node.settings.operator.leader_life_ms;
+    let life = node.settings.leader.life.0 as u64;
     let every = Duration::from_millis(life / TOUCHES);
     let mut touches = tokio::task::JoinSet::new();
     loop {
@@ -371,13 +372,22 @@
     node.now() - Millis(age.min(1 << 50) as i64)
 }
 
-/// Follows open jobs, from the epoch of the list that was read.
-async fn watch_jobs(node: Arc<Node>, mut since: Epoch, end: CancellationToken) {
-    let hold = Duration::from_secs(8);
+/// Follows open jobs, from the epoch of the list that was read. Each answer says what had happened by
+/// the time it was asked for: the leader's authority doesn't outlast that by more than the staleness
+/// allowed.
+async fn watch_jobs(
+    node: Arc<Node>,
+    authority: Arc<Authority>,
+    mut since: Epoch,
+    end: CancellationToken,
+) {
+    let hold = node.settings.leader.watch_hold;
+    let patience = node.settings.leader.watch_patience;
     while !end.is_cancelled() {
+        let asked = node.now();
         let news = tokio::select! {
             _ = end.cancelled() => return,
-            n = node.state.watch(OPEN, since, hold) => n,
+            n = node.state.watch(OPEN, since, hold, patience) => n,
         };
         match news {
             Ok(page) => {
@@ -401,6 +411,7 @@
                     }
                 }
                 since = page.epoch;
+                authority.knows(asked);
                 // Changes come in bunches: a short pause spares requests.
                 tokio::time::sleep(Duration::from_millis(100)).await;
             }
@@ -408,10 +419,12 @@
                 // A gap: read the whole list again rather than guess what was missed.
                 tokio::time::sleep(Duration::from_millis(300)).await;
                 if e == StateError::TooOld || e == StateError::Unclear {
+                    let asked = node.now();
                     if let Ok((items, epoch)) = node.state.list(OPEN).await {
                         let jobs = read_open(&node, items);
                         node.leader.event(node.now(), Event::OpenJobs { jobs });
                         since = epoch;
+                        authority.knows(asked);
                     }
                 }
             }
--- a/src/duties/mod.rs
+++ b/src/duties/mod.rs
@@ -38,6 +38,7 @@
     /// Task counts as the leader last told, for display.
     pub counts: Mutex<BTreeMap<JobId, (u32, u32)>>,
     pub copy: copy::OpenCopy,
+    pub cancel_news: peers::CancelNews,
     pub finals: Mutex<users::FinalCache>,
     pub user_slots: tokio::sync::Semaphore,
     pub sockets: Sockets,
@@ -122,6 +123,7 @@
         rigs: Mutex::new(Vec::new()),
         counts: Mutex::new(BTreeMap::new()),
         copy: copy::OpenCopy::default(),
+        cancel_news: peers::CancelNews::default(),
         finals: Mutex::new(users::FinalCache::default()),
         user_slots: tokio::sync::Semaphore::new(settings.operator.max_user_requests),
         sockets,
@@ -136,6 +138,7 @@
         tokio::spawn(catalog::keep(node.clone())),
         tokio::spawn(copy::keep(node.clone())),
         tokio::spawn(peers::look(node.clone())),
+        tokio::spawn(peers::tell_cancelled(node.clone())),
         tokio::spawn(leader::campaign(node.clone())),
     ];
     for d in duties {
--- a/src/duties/peers.rs
+++ b/src/duties/peers.rs
@@ -1,12 +1,15 @@
 //! What controllers ask of each other.
 
 use super::{front, lock, Node};
-use crate::ids::Millis;
+use crate::coordination::Event;
+use crate::ids::{JobId, Millis};
 use crate::protocol::peers::{PeerReply, PeerRequest};
+use crate::protocol::users::JobPhase;
 use crate::transport::peer;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 
 /// The state service counts as reachable for this long after it last served us.
 pub const STATE_FRESH: Duration = Duration::from_millis(2000);
@@ -64,6 +67,59 @@
     }
 }
 
+/// Cancellations that the state service confirmed here and siblings are still to be told of.
+#[derive(Default)]
+pub struct CancelNews {
+    untold: Mutex<Vec<(JobId, u32)>>,
+    news: Notify,
+}
+
+/// Siblings are told of so many at most at once; what is beyond they learn from the state service.
+const MOST_NEWS: usize = 500;
+
+impl Node {
+    /// A cancellation is confirmed: the leader stops the job's tasks, here or on a sibling.
+    pub fn cancelled(&self, id: &JobId, pieces: u32) {
+        self.job_cancelled(id, pieces);
+        let mut untold = lock(&self.cancel_news.untold);
+        if untold.len() < MOST_NEWS {
+            untold.push((id.clone(), pieces));
+            self.cancel_news.news.notify_one();
+        }
+    }
+
+    /// What a confirmed cancellation means on this controller. It is final.
+    fn job_cancelled(&self, id: &JobId, pieces: u32) {
+        lock(&self.finals).put(id, JobPhase::Cancelled, pieces);
+        let closed = Event::JobClosed { id: id.clone() };
+        self.leader.event(self.now(), closed);
+    }
+}
+
+/// Tells siblings of cancellations.
+///
+/// Guards against a leader that the state service alone refuses: it would go on renewing the leases of
+/// machines whose jobs were cancelled through others. This is for speed: that such tasks are gone in
+/// time rests on the leader's own clock (`Authority`), not on any message.
+pub async fn tell_cancelled(node: Arc<Node>) {
+    loop {
+        tokio::select! {
+            _ = node.stop.cancelled() => return,
+            _ = node.cancel_news.news.notified() => {}
+        }
+        let jobs = std::mem::take(&mut *lock(&node.cancel_news.untold));
+        if jobs.is_empty() {
+            continue;
+        }
+        let request = PeerRequest::Cancelled { jobs };
+        let all = node.siblings.iter().map(|s| s.ask(&request, TELL));
+        futures_util::future::join_all(all).await;
+    }
+}
+
+/// A sibling that doesn't answer within this is not told.
+const TELL: Duration = Duration::from_millis(400);
+
 /// Answers siblings.
 pub async fn serve(node: Arc<Node>, listener: TcpListener) {
     let most = node.sockets.siblings_in;
@@ -87,6 +143,12 @@
                     *lock(&node.counts) = jobs.into_iter().map(|(j, d, r)| (j, (d, r))).collect();
                     PeerReply::Noted
                 }
+                PeerRequest::Cancelled { jobs } => {
+                    for (id, pieces) in &jobs {
+                        node.job_cancelled(id, *pieces);
+                    }
+                    PeerReply::Noted
+                }
             }
         }
     })
--- a/src/duties/state_client.rs
+++ b/src/duties/state_client.rs
@@ -1,6 +1,6 @@
 //! Typed calls to the state service. Every failure says whether the request can have been executed.
 
-use crate::ids::{Epoch, Hold};
+use crate::ids::{Epoch, Hold, Millis};
 use crate::protocol::state::{AtEpoch, Conflict, Granted, Item, NewsPage, Page, Txn};
 use crate::transport::client::{Answer, Client, NoAnswer};
 use hyper::Method;
@@ -188,16 +188,22 @@
         let _ = self.call(Method::DELETE, &path, None, CALL).await;
     }
 
-    /// Waits for changes under the prefix after the epoch.
+    /// Changes under the prefix after the epoch, as they stand now.
+    pub async fn changes(&self, prefix: &str, since: Epoch) -> Result<NewsPage, StateError> {
+        let patience = Millis(2000);
+        self.watch(prefix, since, Millis(0), patience).await
+    }
+
+    /// Waits for changes under the prefix after the epoch; the answer may take so much longer.
     pub async fn watch(
         &self,
         prefix: &str,
         since: Epoch,
-        hold: Duration,
+        hold: Millis,
+        patience: Millis,
     ) -> Result<NewsPage, StateError> {
-        let ms = hold.as_millis();
-        let path = format!("/watch?prefix={prefix}&since={since}&holdMs={ms}");
-        let deadline = hold + Duration::from_secs(2);
+        let path = format!("/watch?prefix={prefix}&since={since}&holdMs={}", hold.0);
+        let deadline = Duration::from_millis((hold + patience).0 as u64);
         let a = self.call(Method::GET, &path, None, deadline).await?;
         match a.status {
             200 => Self::read(&a),
--- a/src/duties/users.rs
+++ b/src/duties/users.rs
@@ -35,7 +35,7 @@
     fn get(&self, id: &JobId) -> Option<(JobPhase, u32)> {
         self.known.get(id).copied()
     }
-    fn put(&mut self, id: &JobId, phase: JobPhase, pieces: u32) {
+    pub fn put(&mut self, id: &JobId, phase: JobPhase, pieces: u32) {
         if self.known.insert(id.clone(), (phase, pieces)).is_none() {
             self.order.push_back(id.clone());
             if self.order.len() > MOST_FINALS {
@@ -233,10 +233,17 @@
         return Reply::error(404, "no such job");
     };
     let began = Instant::now();
+    let mut unclear = false;
     while began.elapsed() < SUBMIT / 2 {
         let OpenNote { stamp, pieces } = match find(node, &id).await {
             Ok(Found::Open(note)) => note,
-            Ok(Found::Final { phase, .. }) => return accepted(200, &id, phase),
+            Ok(Found::Final { phase, pieces }) => {
+                // Perhaps a transaction of ours that got no answer: nobody has been told yet.
+                if unclear && phase == JobPhase::Cancelled {
+                    node.cancelled(&id, pieces);
+                }
+                return accepted(200, &id, phase);
+            }
             Ok(Found::Never) => return Reply::error(404, "no such job"),
             Err(_) => break,
         };
@@ -267,11 +274,11 @@
         };
         match node.state.txn(&txn).await {
             Ok(TxnOutcome::Applied(_)) => {
-                lock(&node.finals).put(&id, JobPhase::Cancelled, pieces);
-                node.leader.nudge();
+                node.cancelled(&id, pieces);
                 return accepted(200, &id, JobPhase::Cancelled);
             }
-            Ok(TxnOutcome::Conflict(_)) | Err(StateError::Unclear) => continue,
+            Ok(TxnOutcome::Conflict(_)) => continue,
+            Err(StateError::Unclear) => unclear = true,
             Err(_) => break,
         }
     }
--- a/src/protocol/peers.rs
+++ b/src/protocol/peers.rs
@@ -16,6 +16,8 @@
     },
     /// Task counts for display, from the leader; replaces the previous list.
     Counts { jobs: Vec<(JobId, u32, u32)> },
+    /// The state service has confirmed that these jobs, of so many tasks, are cancelled.
+    Cancelled { jobs: Vec<(JobId, u32)> },
 }
 
 /// The answer.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! The platform's settings file (TOML, unknown fields ignored) and the operators' own (JSON with a
 //! schema, unknown fields refused, every field with a built-in default).
 
+use crate::ids::Millis;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -94,7 +95,7 @@
 }
 
 /// What workers go by.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Copy, Deserialize)]
 pub struct Workers {
     pub report_s: f64,
     pub lease_s: f64,
@@ -131,7 +132,8 @@
 #[derive(Debug, Clone, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Operator {
-    /// Life of the leader's lease on the state service, in milliseconds (2,000 to 60,000).
+    /// Life of the leader's lease on the state service, in milliseconds (2,000 to 60,000). Shortened
+    /// if `cancel_s` leaves less beyond `lease_s`.
     pub leader_life_ms: u64,
     /// Taken off the leader's authority for pauses and drift, in milliseconds.
     pub authority_margin_ms: u64,
@@ -172,6 +174,57 @@
 pub struct Settings {
     pub platform: Platform,
     pub operator: Operator,
+    /// What bounds a leader's right to act, derived from both.
+    pub leader: LeaderTimes,
+}
+
+/// What bounds a leader's right to act. `max_staleness` is the term that keeps the time for
+/// cancellations, see docs/SAFETY.md, "The bound on cancelled work".
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaderTimes {
+    /// Life of the leader's lease on the state service.
+    pub life: Millis,
+    /// Taken off the authority that the lease gives, for pauses and drift.
+    pub margin: Millis,
+    /// A leader acts on no view of the open jobs that it asked for longer ago than this.
+    pub max_staleness: Millis,
+    /// How long one request for changes is held open, and how much longer its answer may take. One
+    /// that fails and the next fit into the staleness, and so do two that are as late as they may be.
+    pub watch_hold: Millis,
+    pub watch_patience: Millis,
+}
+
+/// Two steady clocks may differ by 0.05% each way: 0.2% covers them with room.
+const DRIFT: f64 = 1.002;
+/// What stopping takes apart from waiting: a decision of the core, the grain of timers, and what a
+/// worker needs to act on the end of its lease.
+const STOPPING_S: f64 = 2.0;
+/// A leader that must know everything of the last moments would lose its authority by chance.
+const LEAST_STALENESS_S: f64 = 2.0;
+
+impl LeaderTimes {
+    /// The times that keep `cancel_s`; None if it is too close to `lease_s` for any leader.
+    ///
+    /// Guards against tasks that outlive their cancellation: a leader that has not learnt of it goes
+    /// on answering a worker, whose lease then begins anew. Nothing that reaches the leader is
+    /// counted on, only its own clock.
+    pub fn derive(workers: &Workers, operator: &Operator) -> Option<LeaderTimes> {
+        let room = workers.cancel_s - workers.lease_s * DRIFT - STOPPING_S;
+        let staleness = room / DRIFT;
+        if staleness < LEAST_STALENESS_S {
+            return None;
+        }
+        let max_staleness = Millis::from_secs(staleness);
+        let life = Millis(operator.leader_life_ms as i64).min(max_staleness);
+        let margin = Millis(operator.authority_margin_ms as i64);
+        Some(LeaderTimes {
+            life,
+            margin: margin.min(Millis(life.0 / 3)),
+            max_staleness,
+            watch_hold: Millis::from_secs((staleness / 8.0).clamp(0.25, 8.0)),
+            watch_patience: Millis::from_secs((staleness * 0.375).clamp(0.5, 10.0)),
+        })
+    }
 }
 
 /// Reads and checks both files.
@@ -194,9 +247,18 @@
             own
         }
     };
+    let Some(leader) = LeaderTimes::derive(&parsed.facts.workers, &own) else {
+        let least = parsed.facts.workers.lease_s * DRIFT + STOPPING_S + LEAST_STALENESS_S * DRIFT;
+        let why = format!(
+            "must be at least {least:.1}: `facts.workers.lease_s` has to run out within it, and a \
+             leader needs some seconds to learn of a cancellation"
+        );
+        return Err(bad(platform, "facts.workers.cancel_s", &why));
+    };
     Ok(Settings {
         platform: parsed,
         operator: own,
+        leader,
     })
 }
 
--- /dev/null
+++ b/tests/leadership.rs
@@ -0,0 +1,92 @@
+//! A leader's right to act, and when it hands over.
+
+use chalklug::coordination::leadership::{should_hand_over, Authority};
+use chalklug::ids::Millis;
+use chalklug::settings::{LeaderTimes, Operator, Workers};
+
+fn times() -> LeaderTimes {
+    LeaderTimes {
+        life: Millis(4000),
+        margin: Millis(300),
+        max_staleness: Millis(20_000),
+        watch_hold: Millis(2500),
+        watch_patience: Millis(5000),
+    }
+}
+
+fn workers(lease_s: f64, cancel_s: f64) -> Workers {
+    Workers {
+        report_s: 3.0,
+        lease_s,
+        gang_wait_s: 40.0,
+        gang_peer_s: 4.0,
+        cancel_s,
+    }
+}
+
+#[test]
+fn only_a_leader_deaf_alone_hands_over() {
+    let (quiet, loud, bound) = (Millis(9000), Millis(100), Millis(6000));
+    let over = |n, own, sib: &[Option<Millis>]| should_hand_over(n, own, sib, bound);
+    assert!(over(3, quiet, &[None, Some(loud)]));
+    assert!(!over(3, loud, &[Some(loud)]), "it hears workers itself");
+    assert!(!over(0, quiet, &[Some(loud)]), "there is nobody to hear");
+    assert!(!over(3, quiet, &[None, Some(quiet)]), "nobody hears more");
+}
+
+#[test]
+fn authority_counts_from_sending_and_never_shrinks() {
+    let a = Authority::new(times(), Millis(1000));
+    let end = 1000 + 4000 - 300 - 9;
+    assert!(a.holds(Millis(end - 1)) && !a.holds(Millis(end)));
+    a.renewed(Millis(3000));
+    a.renewed(Millis(2000));
+    assert!(a.holds(Millis(end + 1999)) && !a.holds(Millis(end + 2000)));
+    a.resign();
+    a.renewed(Millis(9000));
+    assert!(!a.holds(Millis(3000)));
+}
+
+/// Touches are served, but what is known of the jobs grows old: authority ends all the same, and an
+/// answer to a request sent long ago brings back no more than it proves.
+#[test]
+fn authority_ends_with_what_is_known() {
+    let a = Authority::new(times(), Millis(0));
+    for t in 1..=30 {
+        a.renewed(Millis(t * 1000));
+    }
+    assert!(a.holds(Millis(19_999)) && !a.holds(Millis(20_000)));
+    a.knows(Millis(5000));
+    assert!(a.holds(Millis(24_999)) && !a.holds(Millis(25_000)));
+}
+
+/// The inequality of docs/SAFETY.md, over many settings: the staleness allowed and a worker's lease,
+/// both stretched by drift, leave two seconds of `cancel_s`; and a watch that fails and the next fit into it.
+#[test]
+fn cancelled_work_is_gone_in_time_by_the_leader_s_own_clock() {
+    let operators = [2000, 4000, 60_000].map(|life| Operator {
+        leader_life_ms: life,
+        ..Operator::default()
+    });
+    let mut derived = 0;
+    for lease in [5.0, 20.0, 26.0, 31.0, 120.0, 600.0] {
+        for more in [0.5, 3.0, 4.2, 5.5, 10.0, 25.0, 60.0, 600.0] {
+            for o in &operators {
+                let w = workers(lease, lease + more);
+                let Some(t) = LeaderTimes::derive(&w, o) else {
+                    assert!(more < 6.0, "lease {lease}, {more} more");
+                    continue;
+                };
+                derived += 1;
+                let gone = t.max_staleness.secs() * 1.0005 + lease * 1.0005 + 2.0;
+                assert!(gone <= w.cancel_s, "lease {lease}, {more} more: {gone}");
+                assert!(t.life <= t.max_staleness && t.margin.0 * 2 < t.life.0);
+                let (once, pause) = (t.watch_hold + t.watch_patience, 300);
+                let next = t.watch_hold.0 * 2 + pause;
+                assert!(once.0 * 2 <= t.max_staleness.0, "{t:?}");
+                assert!(once.0 + next < t.max_staleness.0, "{t:?}");
+            }
+        }
+    }
+    assert!(derived > 60, "{derived} of the settings can be kept");
+}
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -237,6 +237,13 @@
     }))
 }
 
+/// What the workers of one cluster were told, and how long their tasks run.
+struct Seen {
+    launched: Mutex<Vec<String>>,
+    stopped: Mutex<Vec<String>>,
+    run_ms: AtomicU64,
+}
+
 /// What a worker knows, shared between its server and its report loop.
 struct Worker {
     name: String,
@@ -244,7 +251,7 @@
     tick: u64,
     baton: u64,
     tasks: BTreeMap<(String, u64), Instant>,
-    launched: Arc<Mutex<Vec<String>>>,
+    seen: Arc<Seen>,
 }
 
 impl Worker {
@@ -261,25 +268,29 @@
             match o["verb"].as_str().unwrap() {
                 "launch" => {
                     self.tasks.entry(key.clone()).or_insert_with(|| {
-                        self.launched.lock().unwrap().push(key.0);
+                        self.seen.launched.lock().unwrap().push(key.0);
                         Instant::now()
                     });
                 }
-                _ => drop(self.tasks.remove(&key)),
+                verb => {
+                    let known = self.tasks.remove(&key).is_some();
+                    if verb == "stop" && known {
+                        self.seen.stopped.lock().unwrap().push(key.0);
+                    }
+                }
             }
         }
     }
     fn report(&mut self) -> Value {
         self.tick += 1;
+        let run = Duration::from_millis(self.seen.run_ms.load(Ordering::Relaxed));
         let pieces: Vec<Value> = self
             .tasks
             .iter()
-            .map(
-                |((p, a), t)| match t.elapsed() > Duration::from_millis(1500) {
-                    true => json!({"piece": p, "try": a, "phase": "ended", "cause": "done"}),
-                    false => json!({"piece": p, "try": a, "phase": "running"}),
-                },
-            )
+            .map(|((p, a), t)| match t.elapsed() > run {
+                true => json!({"piece": p, "try": a, "phase": "ended", "cause": "done"}),
+                false => json!({"piece": p, "try": a, "phase": "running"}),
+            })
             .collect();
         json!({"host": self.name, "endpoint": self.endpoint, "rig": "box", "site": "a", "loaners": false,
             "tenure": 1, "tick": self.tick, "baton": self.baton, "recallS": null, "pieces": pieces, "new": {"unknown": 1}})
@@ -287,7 +298,7 @@
 }
 
 /// A cloud whose machines are up at once; each reports to the controllers in turn.
-fn cloud(fronts: Vec<String>, launched: Arc<Mutex<Vec<String>>>) -> SocketAddr {
+fn cloud(fronts: Vec<String>, seen: Arc<Seen>) -> SocketAddr {
     let hosts: Arc<Mutex<Vec<Value>>> = Arc::default();
     let names = Arc::new(Mutex::new(0u32));
     serve(Arc::new(move |_, path, body| {
@@ -308,7 +319,7 @@
                 tick: 0,
                 baton: 0,
                 tasks: BTreeMap::new(),
-                launched: launched.clone(),
+                seen: seen.clone(),
             }));
             let mine = w.clone();
             let addr = serve(Arc::new(move |_, _, b| {
@@ -355,6 +366,8 @@
 struct Way {
     addr: SocketAddr,
     cut: Arc<AtomicBool>,
+    /// The service answers 503 to whoever comes this way.
+    refuse: Arc<AtomicBool>,
     /// Answers are held back by so much.
     delay_ms: Arc<AtomicU64>,
 }
@@ -365,6 +378,8 @@
         let addr = listener.local_addr().unwrap();
         let cut = Arc::new(AtomicBool::new(false));
         let held = cut.clone();
+        let refuse = Arc::new(AtomicBool::new(false));
+        let refused = refuse.clone();
         let delay_ms = Arc::new(AtomicU64::new(0));
         let late = delay_ms.clone();
         std::thread::spawn(move || {
@@ -375,13 +390,20 @@
                 let to = TcpStream::connect(target).unwrap();
                 for (a, b, answers) in [(&from, &to, false), (&to, &from, true)] {
                     let (mut a, mut b) = (a.try_clone().unwrap(), b.try_clone().unwrap());
-                    let (cut, late) = (held.clone(), late.clone());
+                    let (cut, late, refused) = (held.clone(), late.clone(), refused.clone());
                     a.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
                     std::thread::spawn(move || {
                         let mut part = [0u8; 16384];
                         while !cut.load(Ordering::Relaxed) {
                             match a.read(&mut part) {
                                 Ok(n) if n > 0 => {
+                                    if !answers && refused.load(Ordering::Relaxed) {
+                                        let no = b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}";
+                                        if a.write_all(no).is_err() {
+                                            break;
+                                        }
+                                        continue;
+                                    }
                                     if answers {
                                         let ms = late.load(Ordering::Relaxed);
                                         std::thread::sleep(Duration::from_millis(ms));
@@ -403,12 +425,16 @@
         Way {
             addr,
             cut,
+            refuse,
             delay_ms,
         }
     }
     fn cut(&self, on: bool) {
         self.cut.store(on, Ordering::Relaxed);
     }
+    fn refuse(&self, on: bool) {
+        self.refuse.store(on, Ordering::Relaxed);
+    }
 }
 
 struct Node {
@@ -556,7 +582,7 @@
     nodes: Vec<Node>,
     fronts: Vec<String>,
     ways: Vec<Way>,
-    launched: Arc<Mutex<Vec<String>>>,
+    seen: Arc<Seen>,
     dir: std::path::PathBuf,
 }
 
@@ -567,12 +593,26 @@
 }
 
 fn cluster(name: &str, n: usize, max_sockets: usize, operator: Option<&str>) -> Cluster {
+    cluster_with(name, n, max_sockets, operator, 30.0)
+}
+
+fn cluster_with(
+    name: &str,
+    n: usize,
+    max_sockets: usize,
+    operator: Option<&str>,
+    cancel_s: f64,
+) -> Cluster {
     let ports = free_ports(2 * n);
     let fronts: Vec<String> = (0..n).map(|i| format!("127.0.0.1:{}", ports[i])).collect();
-    let launched = Arc::new(Mutex::new(Vec::new()));
+    let seen = Arc::new(Seen {
+        launched: Mutex::default(),
+        stopped: Mutex::default(),
+        run_ms: AtomicU64::new(1500),
+    });
     let state = state_service();
     let ways: Vec<Way> = (0..n).map(|_| Way::to(state)).collect();
-    let cloud = cloud(fronts.clone(), launched.clone());
+    let cloud = cloud(fronts.clone(), seen.clone());
     let dir = std::env::temp_dir().join(format!("chalklug-{name}-{}", std::process::id()));
     std::fs::create_dir_all(&dir).unwrap();
     if let Some(text) = operator {
@@ -589,7 +629,7 @@
                 "host_name = \"n{i}\"\nlocation = \"a\"\nfront = \"{}\"\npeer_bind = \"127.0.0.1:{}\"\nnew_field = 1\n{siblings}\n\
                  [endpoints]\ncloud = \"{cloud}\"\nstate = \"{state}\"\n[facts]\nnodes = {n}\nclock_error_ms = 10.0\n\
                  [[facts.teams]]\nname = \"blue\"\ngpus = 4.0\ngpus_max = 20.0\n\
-                 [facts.workers]\nreport_s = 0.3\nlease_s = 20.0\ngang_wait_s = 20.0\ngang_peer_s = 4.0\ncancel_s = 30.0\n\
+                 [facts.workers]\nreport_s = 0.3\nlease_s = 20.0\ngang_wait_s = 20.0\ngang_peer_s = 4.0\ncancel_s = {cancel_s}\n\
                  [facts.state]\nrps = 1000.0\nwrite_rps = 500.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
                  [facts.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[facts.quota]\ncores = 1.0\nmemory_mb = 500.0\nmax_sockets = {max_sockets}\n",
                 fronts[i],
@@ -609,7 +649,7 @@
         nodes,
         fronts,
         ways,
-        launched,
+        seen,
         dir,
     }
 }
@@ -622,27 +662,65 @@
     Some((status, body["baton"].as_u64().unwrap_or(0)))
 }
 
+/// Which controller leads, other than the one excepted, and its baton.
+fn leader(c: &Cluster, tick: &mut u64, not: Option<usize>) -> (usize, u64) {
+    wait_for("a leader", || {
+        (0..c.fronts.len())
+            .filter(|i| Some(*i) != not)
+            .find_map(|i| {
+                *tick += 1;
+                let (status, baton) = check_in(&c.fronts[i], *tick)?;
+                (status == 200).then_some((i, baton))
+            })
+    })
+}
+
+/// The state service refuses the leader alone, another controller confirms a cancellation, then the
+/// service refuses everybody. The leader, which still may act, learns of it from its sibling and stops
+/// the tasks; nothing else could. (Its lease is long, so that a busy machine doesn't decide the test.)
+#[test]
+fn a_refused_leader_learns_of_cancellations_from_siblings() {
+    let long = Some(r#"{"leader_life_ms": 40000}"#);
+    let c = cluster_with("gap", 3, 500, long, 90.0);
+    c.seen.run_ms.store(600_000, Ordering::Relaxed);
+    let (first, _) = leader(&c, &mut 0, None);
+    let other = (first + 1) % 3;
+    wait_for("taken", || {
+        submit(&c.fronts[other], &job("wk-000030", 4)).filter(|s| *s == 201)
+    });
+    wait_for("all launched", || {
+        (c.seen.launched.lock().unwrap().len() == 4).then_some(())
+    });
+    c.ways[first].refuse(true);
+    let path = "/submissions/wk-000030/withdraw";
+    let (status, said) = http(&c.fronts[other], "POST", path, b"").unwrap();
+    assert_eq!((status, said["phase"].as_str()), (200, Some("aborted")));
+    for way in &c.ways {
+        way.refuse(true);
+    }
+    wait_for("all stopped", || {
+        (c.seen.stopped.lock().unwrap().len() == 4).then_some(())
+    });
+    // What is final was told to all: they answer even now.
+    for f in &c.fronts {
+        wait_for("a final state", || {
+            phase(f, "wk-000030").filter(|p| p == "aborted")
+        });
+    }
+}
+
 /// The leader loses the state service but not its workers: it ceases to answer them before another
 /// can lead, and nothing is launched twice.
 #[test]
 fn a_leader_with_workers_only_falls_silent() {
     let c = cluster("workers-only", 3, 500, None);
     let mut tick = 0;
-    let mut leader = |not: Option<usize>| {
-        wait_for("a leader", || {
-            (0..3).filter(|i| Some(*i) != not).find_map(|i| {
-                tick += 1;
-                let (status, baton) = check_in(&c.fronts[i], tick)?;
-                (status == 200).then_some((i, baton))
-            })
-        })
-    };
-    let (first, baton) = leader(None);
+    let (first, baton) = leader(&c, &mut tick, None);
     wait_for("taken", || {
         submit(&c.fronts[first], &job("wk-000010", 6)).filter(|s| *s == 201)
     });
     c.ways[first].cut(true);
-    let (second, higher) = leader(Some(first));
+    let (second, higher) = leader(&c, &mut tick, Some(first));
     assert!(higher > baton && second != first);
     // It still hears workers, and answers none of them as their leader.
     let (status, _) = check_in(&c.fronts[first], 1_000_000).unwrap();
@@ -654,7 +732,7 @@
     let through = wait_for("a state", || phase(&c.fronts[first], "wk-000010"));
     assert_eq!(through, "done");
     c.ways[first].cut(false);
-    let mut all = c.launched.lock().unwrap().clone();
+    let mut all = c.seen.launched.lock().unwrap().clone();
     let n = all.len();
     all.sort();
     all.dedup();
@@ -665,7 +743,7 @@
 /// renewed all the same, so it still leads when its first life is long over.
 #[test]
 fn late_answers_renew_the_lease() {
-    let c = cluster("late", 1, 500, Some(r#"{"leader_life_ms": 15000}"#));
+    let c = cluster_with("late", 1, 500, Some(r#"{"leader_life_ms": 15000}"#), 60.0);
     let mut tick = 0;
     let mut leads = || {
         tick += 1;
@@ -720,7 +798,7 @@
 #[test]
 fn three_processes_a_kill_and_a_restart() {
     let mut c = cluster("loopback", 3, 500, None);
-    let (fronts, launched) = (c.fronts.clone(), c.launched.clone());
+    let (fronts, seen) = (c.fronts.clone(), c.seen.clone());
     let nodes = &mut c.nodes;
     wait_for("machine types", || {
         submit(&fronts[0], &job("wk-000001", 4)).filter(|s| *s == 201 || *s == 200)
@@ -777,7 +855,7 @@
         let again = http(f, "POST", "/submissions/wk-000003/withdraw", b"").unwrap();
         assert_eq!(again, withdrawn, "a withdrawal repeated");
     }
-    let mut all = launched.lock().unwrap().clone();
+    let mut all = seen.launched.lock().unwrap().clone();
     let n = all.len();
     all.sort();
     all.dedup();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -45,6 +45,7 @@
     rigs: Vec<RigInfo>,
     machines: u32,
     seed: u64,
+    campaigns: bool,
 }
 
 fn defaults() -> Given {
@@ -79,6 +80,7 @@
         rigs: Vec::new(),
         machines: 20,
         seed: 1,
+        campaigns: false,
     }
 }
 
@@ -118,6 +120,8 @@
         "machines" => g.machines = rest[0].parse().unwrap(),
         "seed" => g.seed = rest[0].parse().unwrap(),
         "lease" => g.facts.workers.lease_s = rest[0].parse().unwrap(),
+        "cancel-within" => g.facts.workers.cancel_s = rest[0].parse().unwrap(),
+        "campaigns" => g.campaigns = true,
         other => panic!("not a word of scenarios: {other}"),
     }
 }
@@ -230,6 +234,9 @@
         "end-of-day" => w.checker.at_end(w.now),
         "cloud-down" => w.cloud_down = until,
         "state-down" => w.state_down = until,
+        "state-refuses-leader" => w.leader_refused = until,
+        "watch-stuck" => w.watch_stuck = until,
+        "peers-cut" => w.peers_cut = until,
         "state-mute" => w.state_mute = until,
         "state-late" => w.state_late = until,
         "drop-reports" => w.drop_reports = words.num("share", 0.1),
@@ -391,6 +398,7 @@
         most_direct: MOST_DIRECT,
     };
     let mut w = World::new(policy, g.rigs, g.machines, g.seed);
+    w.campaigns = g.campaigns;
     for (t, list) in events {
         w.run_until(Millis(t));
         for e in list {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -59,6 +59,8 @@
 #[test]
 fn settings_are_checked() {
     assert_eq!(check("good", GOOD, None).0, 0);
+    let close = GOOD.replace("cancel_s = 40.0", "cancel_s = 25.0");
+    assert_eq!(check("close", &close, None).0, 0);
     assert_eq!(check("own", GOOD, Some(r#"{"idle_boots": 2.0}"#)).0, 0);
     let refused = [
         (
@@ -67,6 +69,18 @@
             None,
             "facts.workers.lease_s",
         ),
+        (
+            "cancel",
+            GOOD.replace("cancel_s = 40.0", "cancel_s = 23.5"),
+            None,
+            "facts.workers.lease_s",
+        ),
+        (
+            "cancel-too",
+            GOOD.replace("cancel_s = 40.0", "cancel_s = 23.5"),
+            None,
+            "facts.workers.cancel_s",
+        ),
         (
             "missing",
             GOOD.replace("lease_s = 20.0", ""),
--- a/tests/world/checker.rs
+++ b/tests/world/checker.rs
@@ -46,6 +46,15 @@
         self.cancelled.insert(id.clone(), now);
     }
 
+    /// A leader still acts although another may have taken over.
+    pub fn two_leaders(&mut self, now: Millis) {
+        self.breaks(
+            now,
+            "two_leaders",
+            "a lease is over, its leader acts".into(),
+        );
+    }
+
     fn breaks(&mut self, now: Millis, rule: &str, what: String) {
         self.broken.insert(rule.into());
         self.first
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -7,7 +7,7 @@
 pub mod worker;
 
 use chalklug::bookkeeping::records::*;
-use chalklug::coordination::leadership::Lead;
+use chalklug::coordination::leadership::{Authority, Lead};
 use chalklug::coordination::recovery::Inheritance;
 use chalklug::coordination::worker_sessions::CheckInAnswer;
 use chalklug::coordination::{Core, Effect, Event, Policy};
@@ -16,6 +16,7 @@
 use chalklug::protocol::state::{Change, Guard, Txn};
 use chalklug::protocol::users::{JobPhase, JobSpec};
 use chalklug::protocol::workers::{Order, Report};
+use chalklug::settings::LeaderTimes;
 use checker::Checker;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -79,6 +80,21 @@
     pub checker: Checker,
     pub rng: StdRng,
     core: Option<Core>,
+    /// The right to act of that core. Before `campaigns` it lasts for ever.
+    authority: Option<Authority>,
+    /// Leaders come and go by their leases: whoever loses its authority ends, and another takes over
+    /// once the lease on the state service is over.
+    pub campaigns: bool,
+    times: LeaderTimes,
+    /// When the present leader's lease on the state service ends, and its last touch.
+    lease_until: Millis,
+    touched: Millis,
+    /// The state service refuses the present leader alone until then.
+    pub leader_refused: Millis,
+    /// Changes don't reach the leader until then, while its touches and writes are served.
+    pub watch_stuck: Millis,
+    /// Controllers don't hear of each other until then.
+    pub peers_cut: Millis,
     seen_epoch: Epoch,
     holds: u64,
     messages: Vec<(Millis, u64, Message)>,
@@ -103,6 +119,15 @@
         World {
             now: Millis(0),
             checker: Checker::new(policy.facts.clone()),
+            authority: None,
+            campaigns: false,
+            times: LeaderTimes::derive(&policy.facts.workers, &policy.operator)
+                .expect("cancel_s leaves room beyond lease_s"),
+            lease_until: Millis(0),
+            touched: Millis(0),
+            leader_refused: Millis(0),
+            watch_stuck: Millis(0),
+            peers_cut: Millis(0),
             policy: Arc::new(policy),
             rigs,
             capacity,
@@ -156,6 +181,10 @@
     }
 
     pub fn cancel(&mut self, id: &JobId) {
+        if self.campaigns && self.now < self.state_down {
+            // No controller can confirm it: the user is told to come back.
+            return;
+        }
         let Some(open) = self.store.get(&open_key(id)) else {
             return;
         };
@@ -177,11 +206,62 @@
         };
         assert!(self.store.apply(&txn).is_some());
         self.checker.cancelled(id, self.now);
+        // Whoever confirmed it tells its siblings.
+        if let Some(leader) = self.core.as_ref().map(Core::first_baton) {
+            if self.campaigns && self.now >= self.peers_cut {
+                self.send(
+                    10,
+                    Message::ToCore(leader, Event::JobClosed { id: id.clone() }),
+                );
+            }
+        }
     }
 
     /// The leader dies. What it has sent stays on its way.
     pub fn crash(&mut self) {
         self.core = None;
+        self.authority = None;
+    }
+
+    /// Whether the present leader is served by the state service.
+    fn leader_served(&self) -> bool {
+        self.now >= self.state_down && self.now >= self.leader_refused
+    }
+
+    /// The lease behind the leader's authority: touched while that is possible, over after its life,
+    /// and with its full time again once an outage ends.
+    fn keep_lease(&mut self) {
+        let now = self.now;
+        let down = now < self.state_down;
+        if down && self.lease_until > now {
+            self.lease_until = self.state_down + self.times.life;
+        }
+        if self.core.is_some() {
+            let due = now - self.touched >= Millis(self.times.life.0 / 5);
+            if due && self.leader_served() && self.lease_until > now {
+                self.touched = now;
+                self.lease_until = now + self.times.life;
+                if let Some(a) = &self.authority {
+                    a.renewed(now);
+                }
+            }
+            let holds = self.authority.as_ref().is_none_or(|a| a.holds(now));
+            if !holds {
+                self.crash();
+                if self.leader_served() {
+                    // It ends its own lease: others needn't wait for it.
+                    self.lease_until = now;
+                }
+            }
+        }
+        // Half a second until somebody notices.
+        let over = now - self.lease_until >= Millis(500);
+        if over && !down {
+            if self.core.is_some() {
+                self.checker.two_leaders(now);
+            }
+            self.lead();
+        }
     }
 
     /// A new leader takes over.
@@ -237,6 +317,11 @@
             hold,
             host_name: record.host_name,
         };
+        self.authority = self.campaigns.then(|| Authority::new(self.times, now));
+        self.lease_until = now + self.times.life;
+        self.touched = now;
+        // The next to lead is another controller, which the service serves.
+        self.leader_refused = Millis(0);
         let core = Core::take_over(self.policy.clone(), lead, now, found);
         self.core = Some(core.unwrap_or_else(|e| panic!("{e}")));
     }
@@ -264,6 +349,9 @@
 
     fn tick(&mut self) {
         let now = self.now;
+        if self.campaigns {
+            self.keep_lease();
+        }
         self.workers_live();
         let mut due: Vec<_> = Vec::new();
         let mut i = 0;
@@ -457,7 +545,8 @@
                 txn,
                 answer,
             } => {
-                if now < self.state_down {
+                let current = self.core.as_ref().map(Core::first_baton) == Some(leader);
+                if now < self.state_down || (current && now < self.leader_refused) {
                     if answer {
                         self.send(10, Message::ToCore(leader, Event::NotWritten { seq }));
                     }
@@ -485,9 +574,12 @@
     }
 
     fn watch(&mut self) {
-        if self.now < self.state_down {
+        if !self.leader_served() || self.now < self.watch_stuck {
             return;
         }
+        if let Some(a) = &self.authority {
+            a.knows(self.now);
+        }
         let Some(core) = self.core.as_mut() else {
             return;
         };
@@ -584,7 +676,13 @@
                     .iter()
                     .map(|k| (k.clone(), self.store.get(k)))
                     .collect();
-                self.send(20, Message::ToCore(leader, Event::Reread { seq, items }));
+                // The read is made again until it is answered.
+                let wait = self.leader_refused.max(self.state_down) - now;
+                let wait = if self.campaigns { wait.0.max(0) } else { 0 };
+                self.send(
+                    wait + 20,
+                    Message::ToCore(leader, Event::Reread { seq, items }),
+                );
             }
             Effect::Direct {
                 host,
@@ -636,7 +734,7 @@
                     self.send(120, Message::Returned { leader, hosts });
                 }
             }
-            Effect::StepDown { .. } => self.core = None,
+            Effect::StepDown { .. } => self.crash(),
         }
     }
 
