A session that direct answers show has a lease of its own; random pairs of troubles

Cause: proof 3 counted a machine's lease from its last answered check-in. A machine that reaches no controller begins a new session when that lease ends; what was launched in it by direct command was taken for gone a second later and started elsewhere. Mend: the clock includes when the session was first seen; a machine counts as silent by its check-ins, so it is given no work that its lease can't carry; check-ins overtaken by a direct answer still carry stops; unanswered direct stops are sent again. Final states known here are answered while the service is down.

--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -319,10 +319,14 @@
     pub deaf_since: Option<Millis>,
     /// Deliberately not answered any more, so that its lease runs out.
     pub shunned: bool,
-    /// When its last message arrived.
+    /// When its last message arrived, of any kind, and its last check-in.
     pub heard: Option<Millis>,
+    pub reported: Option<Millis>,
     /// When an entitled controller may last have answered it (our takeover, for former leaders).
     pub answered: Millis,
+    /// When its present tenure was first seen: its lease counts from no later than this, or than its
+    /// last answer.
+    pub tenure_seen: Millis,
     /// Every start that may be on it, tombstones included.
     pub starts: BTreeMap<(PieceId, Try), Start>,
     /// What is free on it, and how many starts have not ended: kept in step by `starts.rs`.
@@ -383,7 +387,9 @@
             deaf_since: None,
             shunned: false,
             heard: None,
+            reported: None,
             answered: now,
+            tenure_seen: Millis(i64::MIN / 4),
             starts: BTreeMap::new(),
             free: whole,
             live: 0,
@@ -426,9 +432,27 @@
         self.drain_since.get_or_insert(now);
     }
 
-    /// Whether it has kept silent for longer than the given time.
+    /// Whether no check-in of it has come for longer than the given time. Answers to direct commands
+    /// don't count: they renew no lease, so that a machine from which only they come is about to lose
+    /// its tasks.
     pub fn silent(&self, now: Millis, bound: Millis) -> bool {
-        self.standing == Standing::Up && self.heard.is_none_or(|h| now - h > bound)
+        self.standing == Standing::Up && self.reported.is_none_or(|h| now - h > bound)
+    }
+
+    /// The latest moment from which the lease that a start lives by can count.
+    ///
+    /// Guards against a machine that reaches no controller while direct commands reach it: a session
+    /// that began after its last answer has a lease of its own, and what was launched in it was taken
+    /// for gone with the session before, and started elsewhere. What a former leader launched is in a
+    /// session that had begun when we took over, unless it is seen in a later one.
+    pub fn lease_from(&self, s: &Start) -> Millis {
+        let here =
+            s.launched_in == Some(self.tenure) || s.seen.is_some_and(|x| x.at.0 == self.tenure);
+        if here {
+            self.answered.max(self.tenure_seen)
+        } else {
+            self.answered
+        }
     }
 
     /// Whether the image should be in the cache.
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -67,16 +67,20 @@
             return CheckInAnswer::Refuse;
         };
         m.checked_in = place;
+        m.reported = Some(now);
         if m.shunned {
             // Its lease is to run out: that is the proof that frees its tasks.
             return CheckInAnswer::Refuse;
         }
         m.answered = now;
         m.told = m.told.max(baton);
+        let mut orders = self.check_in_orders(now, &report.host, fresh);
         if !fresh {
-            return CheckInAnswer::Orders(Vec::new());
+            // Overtaken by a direct answer: what it lists is old. It renews the lease all the same, so
+            // it says what is to stop: otherwise a cancelled task might be renewed without being told.
+            orders.retain(|o| matches!(o, Order::Stop { .. }));
         }
-        CheckInAnswer::Orders(self.check_in_orders(now, &report.host))
+        CheckInAnswer::Orders(orders)
     }
 
     pub(crate) fn direct_answered(
@@ -120,6 +124,7 @@
         };
         tracing::debug!(host = %host, sent, "direct command not answered");
         self.settle_direct(host, seq, end);
+        self.stop_again(host);
         self.direct_due.insert(host.clone());
     }
 
@@ -139,6 +144,16 @@
         self.direct_due.insert(host.clone());
     }
 
+    /// A direct command went unanswered: what it should have stopped is told again. Check-ins tell it
+    /// too, but from a machine that reaches no controller none comes.
+    fn stop_again(&mut self, host: &HostId) {
+        if let Some(m) = self.machines.get_mut(host) {
+            for w in m.starts.values_mut().filter_map(|s| s.stop.as_mut()) {
+                w.sent_direct = false;
+            }
+        }
+    }
+
     /// Takes a report in; false if it was no news. The list of an old report proves nothing.
     fn take_report(&mut self, now: Millis, r: &Report, way: Way) -> bool {
         let host = &r.host;
@@ -180,6 +195,9 @@
             // Its lease ran out although we answered: nothing that we say reaches it.
             m.unheeded = UNHEEDED;
         }
+        if ended_tenure {
+            m.tenure_seen = now;
+        }
         m.tenure = r.tenure;
         m.tick = r.tick;
         m.heard = Some(now);
@@ -552,18 +570,21 @@
     /// progress.
     pub(crate) fn recheck_machines(&mut self, now: Millis) {
         let lease_over = self.policy.lease_over();
-        let over: Vec<HostId> = self
-            .machines
-            .values()
-            .filter(|m| !m.starts.is_empty())
-            .filter(|m| now - m.answered.max(self.began) > lease_over)
-            .map(|m| m.id.clone())
+        let quiet = self.machines.values().filter(|m| !m.starts.is_empty());
+        let quiet = quiet.filter(|m| now - m.answered.max(self.began) > lease_over);
+        let over: Vec<(HostId, (PieceId, Try))> = quiet
+            .flat_map(|m| {
+                let gone = |s: &&Start| now - m.lease_from(s).max(self.began) > lease_over;
+                let key = |s: &Start| (m.id.clone(), (s.piece.clone(), s.attempt));
+                m.starts.values().filter(gone).map(key)
+            })
             .collect();
-        for host in over {
-            // Proof 3: no entitled controller has answered it for longer than its lease. Starts
-            // that were never launched stay planned no longer either.
-            tracing::info!(host = %host, "lease over: its tasks are gone");
-            self.empty_machine(now, &host);
+        for (host, key) in over {
+            // Proof 3: no entitled controller has answered it for longer than its lease, and the
+            // session that the start belongs to is older than that too. Starts that were never
+            // launched stay planned no longer either.
+            tracing::info!(host = %host, piece = %key.0, "lease over: the task is gone");
+            self.vanish(now, &host, &key);
         }
         let patience = self.policy.silence();
         let mut given_up = Vec::new();
@@ -813,7 +834,7 @@
     }
 
     /// The orders that answer a check-in: all that the worker should know now.
-    fn check_in_orders(&mut self, now: Millis, host: &HostId) -> Vec<Order> {
+    fn check_in_orders(&mut self, now: Millis, host: &HostId, fresh: bool) -> Vec<Order> {
         let Some(m) = self.machines.get(host) else {
             return Vec::new();
         };
@@ -832,7 +853,10 @@
                 }
             } else if s.stop.is_some() {
                 orders.extend(Self::stop_order(s, now));
-            } else if self.wants_launch(m, s) && !matches!(s.direct, DirectCarrier::InFlight(_)) {
+            } else if fresh
+                && self.wants_launch(m, s)
+                && !matches!(s.direct, DirectCarrier::InFlight(_))
+            {
                 orders.push(Order::Launch {
                     piece: s.piece.clone(),
                     attempt: s.attempt,
--- a/src/duties/front.rs
+++ b/src/duties/front.rs
@@ -197,8 +197,15 @@
     // Guards against users who wait while we find out, each time again, what we know already: that
     // the state service does not serve us.
     let lost = node.state.since_ok() >= STATE_FRESH;
-    if !lost {
-        let here = match rest.strip_prefix('/').map(|r| r.split_once('/')) {
+    let named = rest.strip_prefix('/').map(|r| r.split_once('/'));
+    // What is final can't change: known here, it is answered with the state service or without.
+    let known = match named {
+        None => false,
+        Some(None) => users::known_final(node, &rest[1..]),
+        Some(Some((id, _))) => users::known_final(node, id),
+    };
+    if !lost || known {
+        let here = match named {
             None => users::submit(node, body).await,
             Some(None) => users::poll(node, &rest[1..]).await,
             Some(Some((id, _))) => users::cancel(node, id).await,
--- a/src/duties/users.rs
+++ b/src/duties/users.rs
@@ -79,6 +79,11 @@
     }
 }
 
+/// Whether the final state of the job of that name has been read or told here.
+pub fn known_final(node: &Node, id: &str) -> bool {
+    JobId::parse(id).is_some_and(|id| lock(&node.finals).get(&id).is_some())
+}
+
 /// The phase of an open job, from the leader's counts: for display only.
 fn open_status(node: &Node, id: &JobId) -> (JobPhase, u32, u32) {
     let (done, running) = match node.leader.counts_of(node.now(), id) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -194,7 +194,7 @@
                 .map_or(Vec::new(), |l| l.split(',').map(JobId::from).collect());
             w.submit(spec(rest), words.num("run", 10.0), after);
         }
-        "cancel" => w.cancel(&JobId::from(rest[0])),
+        "cancel" => assert!(w.cancel(&JobId::from(rest[0])), "confirmed: {}", rest[0]),
         "hang" => {
             let h = machine(w, &words);
             w.workers.get_mut(&h).unwrap().hang_until(until);
@@ -212,6 +212,10 @@
             let h = machine(w, &words);
             w.workers.get_mut(&h).unwrap().deaf_until(until);
         }
+        "mute" => {
+            let h = machine(w, &words);
+            w.workers.get_mut(&h).unwrap().mute_until(until);
+        }
         "copies" => w.copies = words.num("share", 1.0),
         "repeats" => w.repeats = words.num("share", 1.0),
         "sick" => {
@@ -363,7 +367,20 @@
     }
 }
 
+/// With `DBG` set, what the core says goes to standard error.
+fn log_if_asked() {
+    if std::env::var("DBG").is_ok() {
+        let _ = tracing_subscriber::fmt()
+            .with_max_level(tracing::Level::DEBUG)
+            .with_ansi(false)
+            .without_time()
+            .with_writer(std::io::stderr)
+            .try_init();
+    }
+}
+
 fn play(path: &Path) {
+    log_if_asked();
     let file = path.file_name().unwrap().to_string_lossy().into_owned();
     let text = std::fs::read_to_string(path).unwrap();
     let mut g = defaults();
@@ -440,18 +457,127 @@
     assert!(failed.is_empty(), "failed: {failed:?}");
 }
 
+/// Pairs of troubles, random and seeded, with leaders that come and go by their leases: the rules hold
+/// and every job comes to its end.
+#[test]
+fn random_pairs_of_troubles_break_no_rule() {
+    use rand::{Rng, SeedableRng};
+    log_if_asked();
+    let number = |name: &str| std::env::var(name).ok().and_then(|n| n.parse().ok());
+    let first: u64 = number("FIRST").unwrap_or(1);
+    for seed in first..=number("SEEDS").unwrap_or(16u64) {
+        let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
+        let mut g = defaults();
+        for line in [
+            "team blue gpus 8 max 24",
+            "team red gpus 8 max 20",
+            "rig box gpus 4 boot 6 sites a,b,c",
+        ] {
+            let words: Vec<&str> = line.split(' ').collect();
+            given(&mut g, words[0], &words[1..]);
+        }
+        let policy = Policy {
+            facts: g.facts,
+            operator: Operator::default(),
+            most_direct: MOST_DIRECT,
+        };
+        let mut w = World::new(policy, g.rigs, 14, seed);
+        w.campaigns = true;
+        w.copies = if seed % 3 == 0 { 0.3 } else { 0.0 };
+        w.repeats = w.copies;
+        w.lead();
+        let mut cancelled = Vec::new();
+        let mut next = 0u32;
+        for _ in 0..10 {
+            for _ in 0..rng.random_range(1..4) {
+                let (id, pieces) = (format!("wk-{next:06}"), rng.random_range(1..6).to_string());
+                let run = rng.random_range(3..40).to_string();
+                let team = ["blue", "red"][next as usize % 2];
+                next += 1;
+                let mut words = vec![id.as_str(), "team", team, "pieces", &pieces, "run", &run];
+                words.extend(match rng.random_range(0..5) {
+                    0 => vec!["shape", "gang", "together"],
+                    1 => vec!["scatter", "checkpoint", "4"],
+                    2 => vec!["site", "b"],
+                    3 => vec!["together"],
+                    _ => vec!["spot", "checkpoint", "5"],
+                });
+                w.submit(spec(&words), run.parse().unwrap(), Vec::new());
+            }
+            w.run_until(w.now + Millis(rng.random_range(2_000..9_000)));
+            for _ in 0..2 {
+                trouble(&mut w, &mut rng);
+                w.run_until(w.now + Millis(rng.random_range(100..4_000)));
+                // Users cancel in the very moment, too.
+                if rng.random_bool(0.4) {
+                    let id = JobId::from(format!("wk-{:06}", rng.random_range(0..next)).as_str());
+                    if w.cancel(&id) {
+                        cancelled.push(id);
+                    }
+                }
+            }
+            w.run_until(w.now + Millis(rng.random_range(500..30_000)));
+        }
+        w.drop_reports = 0.0;
+        w.run_until(w.now + Millis(500_000));
+        w.checker.at_end(w.now);
+        assert!(
+            w.checker.broken.is_empty(),
+            "seed {seed}: {:?}",
+            w.checker.first
+        );
+        for id in w.specs.keys().filter(|id| !cancelled.contains(id)) {
+            assert_eq!(w.poll(id), Some(JobPhase::Done), "seed {seed}: {id}");
+        }
+    }
+}
+
+/// One trouble, drawn; it ends by itself.
+fn trouble(w: &mut World, rng: &mut rand::rngs::StdRng) {
+    use rand::Rng;
+    let now = w.now;
+    let short = now + Millis(rng.random_range(1_000..12_000));
+    let long = now + Millis(rng.random_range(12_000..60_000));
+    let hosts: Vec<HostId> = w.workers.keys().cloned().collect();
+    let some = |rng: &mut rand::rngs::StdRng| hosts[rng.random_range(0..hosts.len())].clone();
+    let on_machine = !hosts.is_empty() && rng.random_bool(0.5);
+    if on_machine {
+        for _ in 0..rng.random_range(1..4) {
+            let host = some(rng);
+            let until = if rng.random_bool(0.5) { short } else { long };
+            let m = w.workers.get_mut(&host).unwrap();
+            match rng.random_range(0..6) {
+                0 => m.hang_until(until),
+                1 => m.cut_until(until, Cut::Hold),
+                2 => m.cut_until(until, Cut::Drop),
+                3 => m.deaf_until(until),
+                _ => m.mute_until(until),
+            }
+        }
+        return;
+    }
+    match rng.random_range(0..9) {
+        0 => w.leader_refused = short,
+        1 => w.leader_refused = long,
+        2 => w.state_down = short,
+        3 => w.state_down = long,
+        4 => {
+            w.leader_refused = long;
+            w.peers_cut = long;
+            w.state_down = now + Millis(200);
+        }
+        5 => w.watch_stuck = long,
+        6 => w.state_late = short,
+        7 => w.cloud_down = long,
+        _ => w.crash(),
+    }
+}
+
 /// A day of random faults, bounded and seeded: the rules hold and every job comes to its end.
 #[test]
 fn random_faults_break_no_rule() {
     use rand::{Rng, SeedableRng};
-    if std::env::var("DBG").is_ok() {
-        tracing_subscriber::fmt()
-            .with_max_level(tracing::Level::DEBUG)
-            .with_ansi(false)
-            .without_time()
-            .with_writer(std::io::stderr)
-            .init();
-    }
+    log_if_asked();
     let first: u64 = std::env::var("FIRST")
         .ok()
         .and_then(|n| n.parse().ok())
@@ -517,8 +643,9 @@
             }
             if rng.random_bool(0.15) {
                 let id = JobId::from(id.as_str());
-                w.cancel(&id);
-                cancelled.push(id);
+                if w.cancel(&id) {
+                    cancelled.push(id);
+                }
             }
             w.run_until(w.now + Millis(rng.random_range(500..9_000)));
             if rng.random_bool(0.25) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -98,6 +98,8 @@
     seen_epoch: Epoch,
     holds: u64,
     messages: Vec<(Millis, u64, Message)>,
+    /// Direct commands that were answered: they aren't given up as well.
+    answered: BTreeSet<(Baton, u64)>,
     sent: u64,
     hired: BTreeMap<String, Vec<HostId>>,
     rented: u32,
@@ -141,6 +143,7 @@
             seen_epoch: Epoch(0),
             holds: 0,
             messages: Vec::new(),
+            answered: BTreeSet::new(),
             sent: 0,
             hired: BTreeMap::new(),
             rented: 0,
@@ -180,13 +183,14 @@
         self.checker.accepted(spec);
     }
 
-    pub fn cancel(&mut self, id: &JobId) {
+    /// A user cancels; whether a controller confirmed it.
+    pub fn cancel(&mut self, id: &JobId) -> bool {
         if self.campaigns && self.now < self.state_down {
             // No controller can confirm it: the user is told to come back.
-            return;
+            return false;
         }
         let Some(open) = self.store.get(&open_key(id)) else {
-            return;
+            return false;
         };
         let mark = FinalRecord {
             phase: JobPhase::Cancelled,
@@ -209,12 +213,11 @@
         // Whoever confirmed it tells its siblings.
         if let Some(leader) = self.core.as_ref().map(Core::first_baton) {
             if self.campaigns && self.now >= self.peers_cut {
-                self.send(
-                    10,
-                    Message::ToCore(leader, Event::JobClosed { id: id.clone() }),
-                );
+                let closed = Event::JobClosed { id: id.clone() };
+                self.send(10, Message::ToCore(leader, closed));
             }
         }
+        true
     }
 
     /// The leader dies. What it has sent stays on its way.
@@ -401,7 +404,7 @@
             &self.policy.facts.workers,
         );
         for r in reports {
-            if self.rng.random_bool(self.drop_reports) {
+            if self.rng.random_bool(self.drop_reports) || self.workers[&r.host].mute(now) {
                 continue;
             }
             let cut = self.workers[&r.host].cut(now).is_some();
@@ -535,6 +538,13 @@
                 self.through_cut(&host, 10, Message::ToCore(leader, answer));
             }
             Message::ToCore(leader, event) => {
+                // A direct command is answered or given up, whichever comes first.
+                if let Event::DirectAnswered { seq, .. } | Event::DirectFailed { seq, .. } = &event
+                {
+                    if !self.answered.insert((leader, *seq)) {
+                        return;
+                    }
+                }
                 if let Some(core) = self.core.as_mut().filter(|c| c.first_baton() == leader) {
                     core.on(now, event);
                 }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -42,6 +42,8 @@
     hang: Option<Millis>,
     /// Its reports arrive, but nothing reaches it until then.
     deaf: Option<Millis>,
+    /// It reaches no controller until then, while direct commands reach it.
+    mute: Option<Millis>,
     cut: Option<(Millis, Cut)>,
 }
 
@@ -69,6 +71,7 @@
             changed: false,
             hang: None,
             deaf: None,
+            mute: None,
             cut: None,
         }
     }
@@ -85,6 +88,12 @@
     pub fn deaf(&self, now: Millis) -> bool {
         self.deaf.is_some_and(|t| now < t)
     }
+    pub fn mute_until(&mut self, t: Millis) {
+        self.mute = Some(t);
+    }
+    pub fn mute(&self, now: Millis) -> bool {
+        self.mute.is_some_and(|t| now < t)
+    }
     pub fn cut_until(&mut self, t: Millis, how: Cut) {
         self.cut = Some((t, how));
     }
