--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -709,6 +709,67 @@
     }
 }
 
+/// Questions, cancellations and repeated submissions come through all controllers while short jobs end.
+/// Whatever of done and aborted a user was told first, no controller says anything else afterwards.
+#[test]
+fn questions_and_cancellations_meet_the_end() {
+    let c = cluster("at-the-end", 3, 500, None);
+    c.seen.run_ms.store(300, Ordering::Relaxed);
+    leader(&c, &mut 0, None);
+    let ids: Vec<String> = (0..10).map(|n| format!("wk-0001{n:02}")).collect();
+    std::thread::scope(|s| {
+        for (n, id) in ids.iter().enumerate() {
+            let fronts = &c.fronts;
+            s.spawn(move || {
+                let spec = job(id, 1 + n as u32 % 3);
+                wait_for("taken", || {
+                    submit(&fronts[n % 3], &spec).filter(|s| *s == 201 || *s == 200)
+                });
+                let path = format!("/submissions/{id}/withdraw");
+                let mut last: Option<String> = None;
+                let mut at = 0;
+                let tell = |said: Option<String>, last: &mut Option<String>| {
+                    let end = said.filter(|p| p == "done" || p == "aborted");
+                    assert!(
+                        last.is_none() || *last == end,
+                        "{id}: {last:?}, then {end:?}"
+                    );
+                    *last = last.take().or(end);
+                };
+                // Every second job is cancelled, each a little later than the one before.
+                let cancel_at = if n % 2 == 0 { n } else { usize::MAX };
+                wait_for("the end", || {
+                    at += 1;
+                    let front = &fronts[at % 3];
+                    if at > cancel_at {
+                        let said = http(front, "POST", &path, b"").filter(|(s, _)| *s == 200);
+                        let phase = said.and_then(|(_, b)| b["phase"].as_str().map(String::from));
+                        if phase.is_some() {
+                            tell(phase, &mut last);
+                        }
+                    }
+                    if at % 4 == 0 {
+                        let body = spec.to_string();
+                        let (status, said) = http(front, "POST", "/submissions", body.as_bytes())?;
+                        assert!(status == 200 || status == 503, "{id}: {status}");
+                        if status == 200 {
+                            tell(said["phase"].as_str().map(String::from), &mut last);
+                        }
+                    }
+                    if let Some(p) = phase(&fronts[(at + 1) % 3], id) {
+                        tell(Some(p), &mut last);
+                    }
+                    last.clone()
+                });
+                for front in fronts {
+                    let said = wait_for("a state", || phase(front, id));
+                    tell(Some(said), &mut last);
+                }
+            });
+        }
+    });
+}
+
 /// The leader loses the state service but not its workers: it ceases to answer them before another
 /// can lead, and nothing is launched twice.
 #[test]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -195,6 +195,8 @@
             w.submit(spec(rest), words.num("run", 10.0), after);
         }
         "cancel" => assert!(w.cancel(&JobId::from(rest[0])), "confirmed: {}", rest[0]),
+        // The job may be over: then it stays as it is.
+        "try-cancel" => drop(w.cancel(&JobId::from(rest[0]))),
         "hang" => {
             let h = machine(w, &words);
             w.workers.get_mut(&h).unwrap().hang_until(until);
@@ -243,6 +245,8 @@
         "peers-cut" => w.peers_cut = until,
         "state-mute" => w.state_mute = until,
         "state-late" => w.state_late = until,
+        "state-slow" => w.state_slow = until,
+        "late-writes" => w.late_writes = words.num("share", 0.3),
         "drop-reports" => w.drop_reports = words.num("share", 0.1),
         "boots-never" => w.boot_never = rest[0].parse().unwrap(),
         // What follows the service never does: it shows that the checker sees it.
@@ -264,6 +268,7 @@
             };
             w.rogue(&h, order);
         }
+        "rogue-deaf-leader" => w.rogue_deaf = true,
         "rogue-delete" | "rogue-done" | "rogue-reopen" => rogue_record(w, verb, rest[0]),
         other => panic!("not an event of scenarios: {other}"),
     }
@@ -323,6 +328,18 @@
                 w.now.secs()
             );
         }
+        // So many jobs numbered on from there are over, one way or the other.
+        "ended" => {
+            let first: u32 = rest[1]["wk-".len()..].parse().unwrap();
+            for n in first..first + rest[2].parse::<u32>().unwrap() {
+                let phase = w.poll(&JobId::from(format!("wk-{n}").as_str()));
+                assert!(
+                    matches!(phase, Some(JobPhase::Done | JobPhase::Cancelled)),
+                    "{file}: wk-{n} is {phase:?} at {:.1} s",
+                    w.now.secs()
+                );
+            }
+        }
         "starts" => {
             let piece = PieceId::parse(rest[1]).unwrap();
             let n = w.checker.starts.get(&piece).copied().unwrap_or(0);
@@ -517,8 +534,9 @@
                 }
             }
             w.run_until(w.now + Millis(rng.random_range(500..30_000)));
+            w.late_writes = 0.0;
         }
-        w.drop_reports = 0.0;
+        (w.copies, w.repeats) = (0.0, 0.0);
         w.run_until(w.now + Millis(500_000));
         w.checker.at_end(w.now);
         assert!(
@@ -556,7 +574,7 @@
         }
         return;
     }
-    match rng.random_range(0..9) {
+    match rng.random_range(0..11) {
         0 => w.leader_refused = short,
         1 => w.leader_refused = long,
         2 => w.state_down = short,
@@ -568,6 +586,8 @@
         }
         5 => w.watch_stuck = long,
         6 => w.state_late = short,
+        9 => w.state_slow = long,
+        10 => w.late_writes = 0.4,
         7 => w.cloud_down = long,
         _ => w.crash(),
     }
--- a/tests/world/checker.rs
+++ b/tests/world/checker.rs
@@ -3,8 +3,9 @@
 use super::store::Store;
 use super::worker::Worker;
 use chalklug::ids::*;
-use chalklug::protocol::users::{JobPhase, JobSpec};
-use chalklug::protocol::workers::Cause;
+use chalklug::protocol::cloud::RigInfo;
+use chalklug::protocol::users::{JobPhase, JobSpec, Shape};
+use chalklug::protocol::workers::{Cause, PiecePhase};
 use chalklug::settings::Facts;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,11 +22,27 @@
     pub first: Option<String>,
     /// A job that nobody submits.
     pub stranger: JobId,
+    rigs: Vec<RigInfo>,
+    /// Jobs that a job waits for.
+    after: BTreeMap<JobId, Vec<JobId>>,
+    /// The last moment at which some trouble went on.
+    pub troubled: Millis,
+    /// Since when there has been room for a job that waits.
+    waits: BTreeMap<JobId, Millis>,
 }
 
+/// Once the troubles are over, no job may wait longer than this while there is room for it.
+const LONGEST_WAIT: Millis = Millis(90_000);
+/// A leader that hears of a cancellation may send launches for this much longer.
+const HEARING: Millis = Millis(1_000);
+
 impl Checker {
-    pub fn new(facts: Facts) -> Checker {
+    pub fn new(facts: Facts, rigs: Vec<RigInfo>) -> Checker {
         Checker {
+            rigs,
+            after: BTreeMap::new(),
+            troubled: Millis(0),
+            waits: BTreeMap::new(),
             facts,
             jobs: BTreeMap::new(),
             cancelled: BTreeMap::new(),
@@ -39,9 +56,39 @@
         }
     }
 
-    pub fn accepted(&mut self, spec: JobSpec) {
+    /// A job is accepted: it must be able to run at all.
+    pub fn accepted(&mut self, now: Millis, spec: JobSpec, after: Vec<JobId>) {
+        let one = self.rigs.iter().any(|r| {
+            spec.cpus <= r.cpus
+                && spec.gpus <= r.gpus
+                && spec.ram_gb <= r.ram_gb
+                && spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name))
+                && spec.site.as_ref().is_none_or(|s| r.sites.contains(s))
+        });
+        let at_once = match spec.shape {
+            Shape::Array => 1.0,
+            _ => f64::from(spec.pieces),
+        };
+        let team = self.facts.teams.iter().find(|t| t.name == spec.team);
+        let within = team.is_some_and(|t| {
+            let fits = |each: f64, max: f64| max <= 0.0 || each * at_once <= max + 1e-6;
+            fits(spec.cpus, t.cpus_max) && fits(spec.gpus, t.gpus_max)
+        });
+        if !one || !within {
+            self.breaks(now, "accepted_unfit", spec.id.to_string());
+        }
+        self.after.insert(spec.id.clone(), after);
         self.jobs.insert(spec.id.clone(), spec);
     }
+
+    /// A launch leaves a leader that has heard of everything confirmed, or that could for `unheard`
+    /// not have.
+    pub fn launch_leaves(&mut self, now: Millis, piece: &PieceId, unheard: Millis) {
+        let since = self.cancelled.get(&piece.job);
+        if since.is_some_and(|t| now - *t > unheard.max(HEARING)) {
+            self.breaks(now, "launched_cancelled", piece.to_string());
+        }
+    }
     pub fn cancelled(&mut self, id: &JobId, now: Millis) {
         self.cancelled.insert(id.clone(), now);
     }
@@ -64,6 +111,101 @@
     pub fn look(&mut self, now: Millis, workers: &BTreeMap<HostId, Worker>, store: &Store) {
         self.look_at_machines(now, workers);
         self.look_at_users(now, store);
+        if now.0 % 1000 == 0 {
+            self.look_at_waiting(now, workers, store);
+        }
+    }
+
+    /// Jobs that wait although there is room: after the troubles nobody may for long.
+    fn look_at_waiting(&mut self, now: Millis, workers: &BTreeMap<HostId, Worker>, store: &Store) {
+        let mut used: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut placed: BTreeSet<&PieceId> = BTreeSet::new();
+        // Machines that report and do their work, with what is free.
+        let mut free: Vec<(&Worker, f64, f64)> = Vec::new();
+        for w in workers.values() {
+            let rig = self.rigs.iter().find(|r| r.name == w.rig);
+            let (mut cpus, mut gpus) = rig.map_or((0.0, 0.0), |r| (r.cpus, r.gpus));
+            for ((p, _), t) in &w.tasks {
+                if t.phase != PiecePhase::Ended {
+                    let spec = &self.jobs[&p.job];
+                    (cpus, gpus) = (cpus - spec.cpus, gpus - spec.gpus);
+                    *used.entry(spec.team.as_str()).or_default() += spec.gpus;
+                    placed.insert(p);
+                }
+            }
+            if w.awake(now) && !w.sick && w.recall_at.is_none() {
+                free.push((w, cpus, gpus));
+            }
+        }
+        let mut waits = BTreeMap::new();
+        let mut late = Vec::new();
+        for (id, spec) in &self.jobs {
+            let open = store.phase(id) == Some(JobPhase::Queued);
+            let held = self.after[id]
+                .iter()
+                .any(|p| store.phase(p) != Some(JobPhase::Done));
+            if !open || held || spec.scatter {
+                continue;
+            }
+            let done = self.done.get(id);
+            let missing: Vec<PieceId> = (0..spec.pieces)
+                .filter(|i| done.is_none_or(|d| !d.contains(i)))
+                .map(|index| PieceId {
+                    job: id.clone(),
+                    index,
+                })
+                .filter(|p| !placed.contains(p))
+                .collect();
+            if missing.is_empty() || (spec.shape == Shape::Gang && done.is_some()) {
+                continue;
+            }
+            let together = spec.shape == Shape::Gang;
+            let tasks = if together { missing.len() as u32 } else { 1 };
+            let team = self.facts.teams.iter().find(|t| t.name == spec.team);
+            let max = team.map_or(0.0, |t| t.gpus_max);
+            let uses = used.get(spec.team.as_str()).copied().unwrap_or(0.0);
+            let under = max <= 0.0 || uses + spec.gpus * f64::from(tasks) <= max + 1e-6;
+            let mine: BTreeSet<&Site> = workers
+                .values()
+                .filter(|w| {
+                    let going = |((p, _), t): (&(PieceId, Try), &super::worker::Task)| {
+                        p.job == *id && t.phase != PiecePhase::Ended
+                    };
+                    w.tasks.iter().any(going)
+                })
+                .map(|w| &w.site)
+                .collect();
+            let mut room: BTreeMap<&Site, u32> = BTreeMap::new();
+            for (w, cpus, gpus) in &free {
+                let kind = (spec.spot || !w.spot)
+                    && spec.site.as_ref().is_none_or(|s| *s == w.site)
+                    && spec.rigs.as_ref().is_none_or(|r| r.contains(&w.rig))
+                    && (!spec.together || mine.iter().all(|s| **s == w.site));
+                let n = |free: f64, need: f64| match need > 0.0 {
+                    true => ((free + 1e-6) / need).floor().max(0.0) as u32,
+                    false => u32::MAX,
+                };
+                if kind {
+                    let fit = n(*cpus, spec.cpus).min(n(*gpus, spec.gpus)).min(1000);
+                    *room.entry(&w.site).or_default() += fit;
+                }
+            }
+            let most = match spec.together {
+                true => room.values().copied().max().unwrap_or(0),
+                false => room.values().sum(),
+            };
+            if under && most >= tasks {
+                let since = self.waits.get(id).copied().unwrap_or(now);
+                if now - since.max(self.troubled) > LONGEST_WAIT {
+                    late.push(id.to_string());
+                }
+                waits.insert(id.clone(), since);
+            }
+        }
+        self.waits = waits;
+        for id in late {
+            self.breaks(now, "left_waiting", id);
+        }
     }
 
     fn look_at_machines(&mut self, now: Millis, workers: &BTreeMap<HostId, Worker>) {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -109,6 +109,12 @@
     /// Answers of the state service are lost until then; its transactions come this late.
     pub state_mute: Millis,
     pub state_late: Millis,
+    /// Changes never reach the leader, and no trouble excuses it: to show that the checker sees it.
+    pub rogue_deaf: bool,
+    /// Answers of the state service come a good second later until then.
+    pub state_slow: Millis,
+    /// The part of transactions that get no answer and are carried out late, after newer ones.
+    pub late_writes: f64,
     pub drop_reports: f64,
     /// The part of reports, and of direct commands, of which a copy comes a good while later.
     pub copies: f64,
@@ -120,7 +126,7 @@
     pub fn new(policy: Policy, rigs: Vec<RigInfo>, capacity: u32, seed: u64) -> World {
         World {
             now: Millis(0),
-            checker: Checker::new(policy.facts.clone()),
+            checker: Checker::new(policy.facts.clone(), rigs.clone()),
             authority: None,
             campaigns: false,
             times: LeaderTimes::derive(&policy.facts.workers, &policy.operator)
@@ -152,6 +158,9 @@
             state_down: Millis(0),
             state_mute: Millis(0),
             state_late: Millis(0),
+            rogue_deaf: false,
+            state_slow: Millis(0),
+            late_writes: 0.0,
             drop_reports: 0.0,
             copies: 0.0,
             repeats: 0.0,
@@ -166,7 +175,7 @@
         let record = OpenRecord {
             spec: spec.clone(),
             at_ms: 0,
-            after,
+            after: after.clone(),
         };
         let absent = |key| Guard {
             key,
@@ -180,7 +189,7 @@
             )],
         };
         assert!(self.store.apply(&txn).is_some(), "a job is submitted once");
-        self.checker.accepted(spec);
+        self.checker.accepted(self.now, spec, after);
     }
 
     /// A user cancels; whether a controller confirmed it.
@@ -331,6 +340,7 @@
 
     /// An order that the service itself would never send, to show that the checker sees it.
     pub fn rogue(&mut self, host: &HostId, order: Order) {
+        self.launches_leave(std::slice::from_ref(&order));
         let (runs, specs, progress) = (&self.runs, &self.specs, &mut self.progress);
         if let Some(w) = self.workers.get_mut(host) {
             w.execute(self.now, &order, specs, runs, progress, &self.rigs);
@@ -377,12 +387,47 @@
         for e in effects {
             self.carry_out(e);
         }
+        if self.troubled() {
+            self.checker.troubled = now;
+        }
         if let Some(Err(e)) = self.core.as_ref().map(Core::audit) {
             panic!("{:.1} s: the ledgers are out of step: {e}", now.secs());
         }
         self.checker.look(now, &self.workers, &self.store);
     }
 
+    /// Whether any trouble goes on.
+    fn troubled(&self) -> bool {
+        let until = [
+            self.cloud_down,
+            self.state_down,
+            self.state_mute,
+            self.state_late,
+            self.state_slow,
+            self.leader_refused,
+            self.watch_stuck,
+            self.peers_cut,
+        ];
+        let now = self.now;
+        until.iter().any(|t| now < *t)
+            || self.core.is_none()
+            || self.drop_reports + self.late_writes + self.copies + self.repeats > 0.0
+            || self.workers.values().any(|w| w.troubled(now) || w.sick)
+    }
+
+    /// For how long the leader can't have heard of what was confirmed elsewhere.
+    fn unheard(&self) -> Millis {
+        let now = self.now;
+        let told = self.campaigns && now >= self.peers_cut;
+        if told || (self.leader_served() && now >= self.watch_stuck) {
+            return Millis(0);
+        }
+        if self.leader_served() {
+            return self.times.max_staleness;
+        }
+        self.times.life
+    }
+
     fn workers_live(&mut self) {
         let now = self.now;
         let mut reports = Vec::new();
@@ -443,10 +488,12 @@
                     return;
                 };
                 if let CheckInAnswer::Orders(orders) = core.check_in(now, &report) {
+                    let baton = core.baton();
+                    self.launches_leave(&orders);
                     let host = report.host.clone();
                     let m = Message::Orders {
                         host: host.clone(),
-                        baton: core.baton(),
+                        baton,
                         orders,
                         asked,
                         tenure: report.tenure,
@@ -583,8 +630,18 @@
         }
     }
 
+    fn launches_leave(&mut self, orders: &[Order]) {
+        let (now, unheard) = (self.now, self.unheard());
+        for o in orders {
+            if let Order::Launch { piece, .. } = o {
+                self.checker.launch_leaves(now, piece, unheard);
+            }
+        }
+    }
+
     fn watch(&mut self) {
-        if !self.leader_served() || self.now < self.watch_stuck {
+        let slow = self.now < self.state_slow && self.now.0 % 1500 != 0;
+        if !self.leader_served() || self.now < self.watch_stuck || slow || self.rogue_deaf {
             return;
         }
         if let Some(a) = &self.authority {
@@ -662,7 +719,10 @@
                     };
                     self.send(900, Message::ToCore(leader, unclear));
                 }
-                let late = if now < self.state_late { 3000 } else { 10 };
+                let mut late = if now < self.state_late { 3000 } else { 10 };
+                if self.rng.random_bool(self.late_writes) {
+                    late = self.rng.random_range(2_000..12_000);
+                }
                 if late > 10 && !mute {
                     let unclear = Event::WriteUnclear {
                         seq,
@@ -671,8 +731,10 @@
                     self.send(900, Message::ToCore(leader, unclear));
                 }
                 let answer = !mute && late == 10;
+                // Answered in time, but only just.
+                let slow = if now < self.state_slow { 700 } else { 0 };
                 self.send(
-                    late,
+                    late + slow,
                     Message::Apply {
                         leader,
                         seq,
@@ -702,6 +764,7 @@
                 orders,
                 ..
             } => {
+                self.launches_leave(&orders);
                 let lost = Event::DirectFailed {
                     host: host.clone(),
                     seq,
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -100,6 +100,11 @@
     pub fn cut(&self, now: Millis) -> Option<(Millis, Cut)> {
         self.cut.filter(|(t, _)| now < *t)
     }
+    /// Whether some trouble of its own goes on.
+    pub fn troubled(&self, now: Millis) -> bool {
+        let on = |t: Option<Millis>| t.is_some_and(|t| now < t);
+        on(self.hang) || on(self.deaf) || on(self.mute) || self.cut(now).is_some()
+    }
     pub fn asleep_until(&self, now: Millis) -> Option<Millis> {
         let t = self.hang.into_iter().chain([self.up_at]).max()?;
         (now < t).then_some(t)
