Loopback tests listen on ports of their own, below those of outgoing connections

The full run before failed once: a controller of one test never came up, its port had gone to a connection of another.

--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -473,12 +473,21 @@
     }
 }
 
+/// Ports for controllers to listen on: below those that outgoing connections get by themselves, and
+/// given to one cluster only.
+///
+/// Guards against a controller that never came up: its port, found free and let go, had meanwhile gone
+/// to a connection of another test.
 fn free_ports(n: usize) -> Vec<u16> {
-    let held: Vec<TcpListener> = (0..n)
-        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    held.iter()
-        .map(|l| l.local_addr().unwrap().port())
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    const LOWEST: u64 = 12_000;
+    const MANY: u64 = 18_000;
+    let first = u64::from(std::process::id()) * 97;
+    let port = || (LOWEST + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % MANY) as u16;
+    (0..MANY)
+        .map(|_| port())
+        .filter(|p| TcpListener::bind(("127.0.0.1", *p)).is_ok())
+        .take(n)
         .collect()
 }
 
