--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -2,7 +2,7 @@
 
 use super::records::DoneSet;
 use crate::ids::{
-    Baton, HostId, Image, JobId, Millis, PageNo, PieceId, Rig, Site, Stamp, TeamNo, Tenure, Tick,
+    HostId, Image, JobId, Millis, PageNo, PieceId, Rig, Session, Site, Stamp, TeamNo, Tick, Token,
     Try,
 };
 use crate::protocol::users::{JobSpec, Shape};
@@ -169,9 +169,9 @@
     None,
     /// Sent, the answer is awaited.
     InFlight(u64),
-    /// No answer came: it may execute at any time in this tenure, until the worker has seen a higher
-    /// baton than this.
-    Lost(Tenure, Baton),
+    /// No answer came: it may execute at any time in this session, until the worker has seen a higher
+    /// token than this.
+    Lost(Session, Token),
 }
 
 /// What a report said of a start.
@@ -183,7 +183,7 @@
     /// Since when it has been in this phase, as far as we know.
     pub since: Millis,
     /// The message that said so.
-    pub at: (Tenure, Tick),
+    pub at: (Session, Tick),
 }
 
 /// A wish that a start end.
@@ -213,11 +213,11 @@
     /// The tick of the check-in whose answer carried the launch, until settled.
     pub checkin_carrier: Option<Tick>,
     pub direct: DirectCarrier,
-    /// The tenure in which we launched it. None: never launched by us.
-    pub launched_in: Option<Tenure>,
-    /// The highest baton of a direct command that launched it.
-    pub launched_with: Option<Baton>,
-    /// Left by a former leader and not yet resolved by a report that carries our baton.
+    /// The session in which we launched it. None: never launched by us.
+    pub launched_in: Option<Session>,
+    /// The highest token of a direct command that launched it.
+    pub launched_with: Option<Token>,
+    /// Left by a former leader and not yet resolved by a report that carries our token.
     pub inherited: bool,
     pub seen: Option<Seen>,
     pub stop: Option<StopWish>,
@@ -301,18 +301,18 @@
     pub standing: Standing,
     /// When we first knew of it.
     pub since: Millis,
-    pub tenure: Tenure,
+    pub session: Session,
     pub tick: Tick,
     /// The last check-in: any with a place not above it is a copy.
-    pub checked_in: (Tenure, Tick),
-    /// Known from our records, from a rental of ours, from the cloud, or by having shown our baton: a
+    pub checked_in: (Session, Tick),
+    /// Known from our records, from a rental of ours, from the cloud, or by having shown our token: a
     /// late copy of a report alone vouches for nothing.
     pub vouched: bool,
-    /// A report with a baton of this leadership has been seen.
+    /// A report with a token of this leadership has been seen.
     pub confirmed: bool,
-    /// The highest baton that we answered it with, and that it has shown.
-    pub told: Baton,
-    pub shown: Baton,
+    /// The highest token that we answered it with, and that it has shown.
+    pub told: Token,
+    pub shown: Token,
     /// Check-ins in a row that showed nothing of what we had answered, and since when it has counted
     /// as deaf.
     pub unheeded: u32,
@@ -324,9 +324,9 @@
     pub reported: Option<Millis>,
     /// When an entitled controller may last have answered it (our takeover, for former leaders).
     pub answered: Millis,
-    /// When its present tenure was first seen: its lease counts from no later than this, or than its
+    /// When its present session was first seen: its lease counts from no later than this, or than its
     /// last answer.
-    pub tenure_seen: Millis,
+    pub session_seen: Millis,
     /// Every start that may be on it, tombstones included.
     pub starts: BTreeMap<(PieceId, Try), Start>,
     /// What is free on it, and how many starts have not ended: kept in step by `starts.rs`.
@@ -376,20 +376,20 @@
             spot,
             standing: Standing::Booting,
             since: now,
-            tenure: Tenure(0),
+            session: Session(0),
             tick: Tick(0),
-            checked_in: (Tenure(0), Tick(0)),
+            checked_in: (Session(0), Tick(0)),
             vouched: true,
             confirmed: false,
-            told: Baton(0),
-            shown: Baton(0),
+            told: Token(0),
+            shown: Token(0),
             unheeded: 0,
             deaf_since: None,
             shunned: false,
             heard: None,
             reported: None,
             answered: now,
-            tenure_seen: Millis(i64::MIN / 4),
+            session_seen: Millis(i64::MIN / 4),
             starts: BTreeMap::new(),
             free: whole,
             live: 0,
@@ -447,9 +447,9 @@
     /// session that had begun when we took over, unless it is seen in a later one.
     pub fn lease_from(&self, s: &Start) -> Millis {
         let here =
-            s.launched_in == Some(self.tenure) || s.seen.is_some_and(|x| x.at.0 == self.tenure);
+            s.launched_in == Some(self.session) || s.seen.is_some_and(|x| x.at.0 == self.session);
         if here {
-            self.answered.max(self.tenure_seen)
+            self.answered.max(self.session_seen)
         } else {
             self.answered
         }
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -2,8 +2,8 @@
 //!
 //! | key | value | written by |
 //! | --- | --- | --- |
-//! | `lead` | the leader's name and baton, on its lease | the leader |
-//! | `baton` | the last baton given out | a new leader |
+//! | `lead` | the leader's name and token, on its lease | the leader |
+//! | `token` | the last token given out | a new leader |
 //! | `catalog` | machine types last seen | the leader |
 //! | `o/JOB` | an open job; never rewritten, so its stamp stands for "still open" | whoever accepts |
 //! | `f/JOB` | the finish mark, kept for ever | whoever cancels; the leader when done |
@@ -13,7 +13,7 @@
 //! | `hints` | arrivals and run times seen, so that a new leader need not learn them again | the leader |
 
 use crate::bookkeeping::ledger::Amount;
-use crate::ids::{Baton, HostId, Image, JobId, PageNo, PieceId, Rig, Site, Try};
+use crate::ids::{HostId, Image, JobId, PageNo, PieceId, Rig, Site, Token, Try};
 use crate::protocol::users::{JobPhase, JobSpec};
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use base64::Engine;
@@ -22,8 +22,8 @@
 
 /// The leader key.
 pub const LEAD: &str = "lead";
-/// The counter of batons.
-pub const BATON: &str = "baton";
+/// The counter of tokens.
+pub const TOKEN: &str = "baton";
 /// Machine types, so that a controller can judge submissions while the cloud is down.
 pub const CATALOG: &str = "catalog";
 /// What was seen of job classes: hints for a new leader, nothing rests on them.
@@ -76,7 +76,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LeadRecord {
     pub host_name: String,
-    pub baton: Baton,
+    #[serde(rename = "baton")]
+    pub token: Token,
 }
 
 /// An accepted job that is neither done nor cancelled.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -260,7 +260,7 @@
     }
 
     fn hire(&mut self, now: Millis, kind: Kind, count: u32) {
-        // Unique for ever: batons are, and so is the count within one.
+        // Unique for ever: tokens are, and so is the count within one.
         self.fleet.hired += 1;
         let name = format!("r-{}-{}", self.lead.first, self.fleet.hired);
         tracing::debug!(hire = %name, rig = %kind.0, site = %kind.1, spot = kind.2, count, "renting");
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -1,21 +1,21 @@
 //! Authority: until when a leader may act, on its own steady clock; and what it holds on the state
 //! service.
 
-use crate::ids::{Baton, Hold, Millis, Stamp};
+use crate::ids::{LeaseId, Millis, Stamp, Token};
 use crate::settings::LeaderTimes;
 use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 
 /// What a leader holds on the state service.
 #[derive(Debug, Clone)]
 pub struct Lead {
-    /// The baton in force, and the one this leadership began with: a leader may raise its own.
-    pub baton: Baton,
-    pub first: Baton,
-    /// Versions of the leader key and of the counter of batons.
+    /// The token in force, and the one this leadership began with: a leader may raise its own.
+    pub token: Token,
+    pub first: Token,
+    /// Versions of the leader key and of the counter of tokens.
     pub stamp: Stamp,
-    pub baton_stamp: Stamp,
+    pub token_stamp: Stamp,
     /// The lease that the leader key is on, and the name it carries.
-    pub hold: Hold,
+    pub lease: LeaseId,
     pub host_name: String,
 }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -21,7 +21,7 @@
 use crate::bookkeeping::records::OpenRecord;
 use crate::coordination::leadership::Lead;
 use crate::ids::{
-    Baton, Epoch, HostId, Image, JobId, Millis, Rig, Site, Stamp, TeamNo, Tenure, Try,
+    Epoch, HostId, Image, JobId, Millis, Rig, Session, Site, Stamp, TeamNo, Token, Try,
 };
 use crate::protocol::cloud::{CloudHost, RigInfo};
 use crate::protocol::state::{Item, Txn};
@@ -180,8 +180,8 @@
         host: HostId,
         endpoint: String,
         seq: u64,
-        baton: Baton,
-        tenure: Tenure,
+        token: Token,
+        session: Session,
         orders: Vec<Order>,
     },
     Rent {
@@ -252,12 +252,12 @@
 
 impl Core {
     /// The leader's token.
-    pub fn baton(&self) -> Baton {
-        self.lead.baton
+    pub fn token(&self) -> Token {
+        self.lead.token
     }
 
     /// The token that this leadership began with.
-    pub fn first_baton(&self) -> Baton {
+    pub fn first_token(&self) -> Token {
         self.lead.first
     }
 
@@ -272,7 +272,7 @@
         self.next_seq
     }
 
-    /// A try never used before: batons are unique for ever, and so is the count within one.
+    /// A try never used before: tokens are unique for ever, and so is the count within one.
     pub(crate) fn fresh_try(&mut self) -> Try {
         self.next_try += 1;
         Try((self.lead.first.0 << 20) | (self.next_try & 0xf_ffff))
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -7,7 +7,7 @@
 use crate::bookkeeping::ledger::{
     DirectCarrier, Machine, Seen, Standing, Start, StopWish, UNHEEDED,
 };
-use crate::ids::{HostId, JobId, Millis, PieceId, Tenure, Try};
+use crate::ids::{HostId, JobId, Millis, PieceId, Session, Try};
 use crate::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
 use std::collections::BTreeSet;
 
@@ -43,9 +43,9 @@
     /// A worker's check-in. The caller has made sure of the leader's authority, and sends the
     /// orders only if it still holds then.
     pub fn check_in(&mut self, now: Millis, report: &Report) -> CheckInAnswer {
-        if report.baton > self.lead.baton {
+        if report.token > self.lead.token {
             self.effects.push(Effect::StepDown {
-                why: "a worker has seen a higher baton",
+                why: "a worker has seen a higher token",
             });
             return CheckInAnswer::Refuse;
         }
@@ -55,14 +55,14 @@
         // Guards against copies of old reports: each check-in has a larger tick than the one before,
         // so one that has not is a copy. It renews no clock and is answered by nothing, for the
         // worker does not wait for it.
-        let place = (report.tenure, report.tick);
+        let place = (report.session, report.tick);
         let known = self.machines.get(&report.host);
         if known.is_some_and(|m| place <= m.checked_in) {
             tracing::debug!(host = %report.host, "a late copy of a report");
             return CheckInAnswer::Refuse;
         }
         let fresh = self.take_report(now, report, Way::CheckIn);
-        let baton = self.lead.baton;
+        let token = self.lead.token;
         let Some(m) = self.machines.get_mut(&report.host) else {
             return CheckInAnswer::Refuse;
         };
@@ -73,7 +73,7 @@
             return CheckInAnswer::Refuse;
         }
         m.answered = now;
-        m.told = m.told.max(baton);
+        m.told = m.told.max(token);
         let mut orders = self.check_in_orders(now, &report.host, fresh);
         if !fresh {
             // Overtaken by a direct answer: what it lists is old. It renews the lease all the same, so
@@ -90,9 +90,9 @@
         seq: u64,
         report: &Report,
     ) {
-        if report.baton > self.lead.baton {
+        if report.token > self.lead.token {
             self.effects.push(Effect::StepDown {
-                why: "a worker has seen a higher baton",
+                why: "a worker has seen a higher token",
             });
             return;
         }
@@ -109,16 +109,16 @@
     }
 
     pub(crate) fn direct_failed(&mut self, now: Millis, host: &HostId, seq: u64, sent: bool) {
-        let baton = self.lead.baton;
+        let token = self.lead.token;
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
         m.direct_after = now + DIRECT_PAUSE;
         // Guards against a command that a cut or a hang held back: it may execute at any later
-        // time in this tenure, until the worker has seen a higher baton, so the launch stays in
+        // time in this session, until the worker has seen a higher token, so the launch stays in
         // flight until then.
         let end = if sent {
-            DirectCarrier::Lost(m.tenure, baton)
+            DirectCarrier::Lost(m.session, token)
         } else {
             DirectCarrier::None
         };
@@ -160,14 +160,14 @@
         if !self.machines.contains_key(host) {
             tracing::info!(host = %r.host, rig = %r.rig, "a machine reports that was not known");
             // Not vouched for: this may be a late copy of a report of a machine long returned. It is
-            // given work once it has shown our baton.
+            // given work once it has shown our token.
             self.enter_machine(now, host, &r.rig, &r.site, r.spot, now, false);
         }
         let first = self.lead.first;
         let Some(m) = self.machines.get_mut(host) else {
             return false;
         };
-        if (r.tenure, r.tick) <= (m.tenure, m.tick) {
+        if (r.session, r.tick) <= (m.session, m.tick) {
             return false;
         }
         if m.standing == Standing::Booting {
@@ -187,18 +187,18 @@
         if m.endpoint != r.endpoint {
             m.endpoint.clone_from(&r.endpoint);
         }
-        let ended_tenure = r.tenure > m.tenure;
-        if r.baton > m.shown && r.baton >= first {
+        let ended_session = r.session > m.session;
+        if r.token > m.shown && r.token >= first {
             m.heeds();
         }
-        if ended_tenure && m.tenure > Tenure(0) && now - m.answered < self.policy.lease_over() {
+        if ended_session && m.session > Session(0) && now - m.answered < self.policy.lease_over() {
             // Its lease ran out although we answered: nothing that we say reaches it.
             m.unheeded = UNHEEDED;
         }
-        if ended_tenure {
-            m.tenure_seen = now;
+        if ended_session {
+            m.session_seen = now;
         }
-        m.tenure = r.tenure;
+        m.session = r.session;
         m.tick = r.tick;
         m.heard = Some(now);
         let recall = r.recall_s.map(|s| now + Millis::from_secs(s));
@@ -208,9 +208,9 @@
             self.to_review.insert(host.clone());
         }
         m.recall_at = recall;
-        // A report with a baton of this leadership was written after it began.
-        let confirmed = r.baton >= first;
-        m.shown = m.shown.max(r.baton);
+        // A report with a token of this leadership was written after it began.
+        let confirmed = r.token >= first;
+        m.shown = m.shown.max(r.token);
         if confirmed && !m.confirmed {
             m.confirmed = true;
             m.heeds();
@@ -220,7 +220,7 @@
         for p in &r.pieces {
             self.see(now, host, p, r, confirmed);
         }
-        self.see_absent(now, r, way, ended_tenure, confirmed);
+        self.see_absent(now, r, way, ended_session, confirmed);
         true
     }
 
@@ -250,15 +250,15 @@
         let Some(s) = m.starts.get_mut(&key) else {
             return;
         };
-        // A launch by a carrier of an earlier tenure, or with a baton that the worker has outgrown,
+        // A launch by a carrier of an earlier session, or with a token that the worker has outgrown,
         // can't be what we see now, nor come any more.
         if let DirectCarrier::Lost(t, b) = s.direct {
-            if t < r.tenure || b < r.baton {
+            if t < r.session || b < r.token {
                 s.direct = DirectCarrier::None;
             }
         }
         let before = s.seen;
-        if before.is_none() && s.launched_in == Some(r.tenure) {
+        if before.is_none() && s.launched_in == Some(r.session) {
             m.heeds();
         }
         let since = match before {
@@ -270,7 +270,7 @@
             cause: p.cause,
             stored: p.stored,
             since,
-            at: (r.tenure, r.tick),
+            at: (r.session, r.tick),
         };
         match before {
             // No news: only noted, so that the start isn't taken for absent.
@@ -318,7 +318,7 @@
         now: Millis,
         r: &Report,
         way: Way,
-        ended_tenure: bool,
+        ended_session: bool,
         confirmed: bool,
     ) {
         let host = &r.host;
@@ -326,14 +326,14 @@
             return;
         };
         let mut gone = Vec::new();
-        let mut unheeded = m.told > r.baton;
+        let mut unheeded = m.told > r.token;
         for (key, s) in m.starts.iter_mut() {
-            let listed = s.seen.is_some_and(|x| x.at == (r.tenure, r.tick));
+            let listed = s.seen.is_some_and(|x| x.at == (r.session, r.tick));
             let settled = way == Way::CheckIn
                 && s.checkin_carrier
-                    .is_some_and(|t| t < r.tick || ended_tenure);
+                    .is_some_and(|t| t < r.tick || ended_session);
             if settled {
-                // A later check-in of the same tenure means that the answer which carried the launch
+                // A later check-in of the same session means that the answer which carried the launch
                 // was either executed or dropped.
                 s.checkin_carrier = None;
             }
@@ -341,8 +341,8 @@
                 continue;
             }
             unheeded |= settled;
-            if ended_tenure && !s.inherited {
-                // Proof 2: launched in an earlier tenure, whose tasks are all killed and forgotten
+            if ended_session && !s.inherited {
+                // Proof 2: launched in an earlier session, whose tasks are all killed and forgotten
                 // and whose launches no longer match.
                 s.checkin_carrier = None;
                 s.direct = DirectCarrier::None;
@@ -354,13 +354,13 @@
                 continue;
             }
             if let DirectCarrier::Lost(_, b) = s.direct {
-                if b < r.baton {
+                if b < r.token {
                     // The worker refuses that command from now on.
                     s.direct = DirectCarrier::None;
                 }
             }
             if s.inherited || !s.in_flight() {
-                // Proof 1. For an inherited start our baton in the report is enough: orders with
+                // Proof 1. For an inherited start our token in the report is enough: orders with
                 // the former one are no longer accepted by this worker.
                 gone.push(key.clone());
             }
@@ -376,7 +376,7 @@
         for key in gone {
             let relaunch = self.machines.get(host).is_some_and(|m| {
                 m.starts.get(&key).is_some_and(|s| {
-                    s.seen.is_none() && !s.inherited && s.launched_in == Some(m.tenure)
+                    s.seen.is_none() && !s.inherited && s.launched_in == Some(m.session)
                 })
             });
             if relaunch {
@@ -760,10 +760,10 @@
     /// launch of the same try can arrive any more and start it afresh.
     ///
     /// Guards against a copy of a direct command that is executed again: once cleared, the worker
-    /// would not know the try any more. The command that clears carries a higher baton than any that
+    /// would not know the try any more. The command that clears carries a higher token than any that
     /// launched, and a worker refuses lower ones from then on.
     fn may_clear(&self, s: &Start) -> bool {
-        if !s.ended() || s.in_flight() || s.launched_with.is_some_and(|b| b >= self.lead.baton) {
+        if !s.ended() || s.in_flight() || s.launched_with.is_some_and(|b| b >= self.lead.token) {
             return false;
         }
         let done = s.seen.is_some_and(|x| x.cause == Some(Cause::Done));
@@ -864,11 +864,11 @@
                 launched.push(key.clone());
             }
         }
-        let (tenure, tick) = (m.tenure, m.tick);
+        let (session, tick) = (m.session, m.tick);
         for key in launched {
             if let Some(s) = self.start_mut(host, &key) {
                 s.checkin_carrier = Some(tick);
-                s.launched_in = Some(tenure);
+                s.launched_in = Some(session);
             }
         }
         orders
@@ -883,7 +883,7 @@
                 continue;
             };
             // An answer that is awaited brings it back here; so does the worker's first report.
-            let never = m.direct_seq.is_some() || m.endpoint.is_empty() || m.tenure == Tenure(0);
+            let never = m.direct_seq.is_some() || m.endpoint.is_empty() || m.session == Session(0);
             if never || m.standing != Standing::Up {
                 continue;
             }
@@ -925,17 +925,17 @@
         if orders.is_empty() && !m.deaf() {
             return;
         }
-        let (endpoint, tenure) = (m.endpoint.clone(), m.tenure);
+        let (endpoint, session) = (m.endpoint.clone(), m.session);
         let seq = self.seq();
-        let baton = self.lead.baton;
+        let token = self.lead.token;
         self.directs += 1;
         if let Some(m) = self.machines.get_mut(host) {
             m.direct_seq = Some(seq);
             for key in carried {
                 if let Some(s) = m.starts.get_mut(&key) {
                     s.direct = DirectCarrier::InFlight(seq);
-                    s.launched_in = Some(tenure);
-                    s.launched_with = Some(baton);
+                    s.launched_in = Some(session);
+                    s.launched_with = Some(token);
                 }
             }
             for key in stops {
@@ -948,8 +948,8 @@
             host: host.clone(),
             endpoint,
             seq,
-            baton,
-            tenure,
+            token,
+            session,
             orders,
         });
     }
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -9,10 +9,10 @@
 use crate::bookkeeping::pages::{HostPages, IntentPages, Measure, StartKey};
 use crate::bookkeeping::records::{
     final_key, hosts_key, intents_key, open_key, parse_page, parse_progress_key, progress_key,
-    FinalRecord, HostNote, HostsPage, IntentsPage, JobTakes, LeadRecord, BATON, CHUNK, HINTS,
-    HOSTS, INTENTS, LEAD, OPEN,
+    FinalRecord, HostNote, HostsPage, IntentsPage, JobTakes, LeadRecord, CHUNK, HINTS, HOSTS,
+    INTENTS, LEAD, OPEN, TOKEN,
 };
-use crate::ids::{Baton, Epoch, HostId, Image, JobId, Millis, PageNo, Rig, Site, Stamp};
+use crate::ids::{Epoch, HostId, Image, JobId, Millis, PageNo, Rig, Site, Stamp, Token};
 use crate::protocol::state::{Change, Guard, Item, Txn};
 use crate::protocol::users::JobPhase;
 use crate::settings::StateLimits;
@@ -44,8 +44,8 @@
     DropProgress { key: String },
     /// What was seen of classes.
     Hints,
-    /// Our own baton is raised.
-    Raise { baton: Baton },
+    /// Our own token is raised.
+    Raise { token: Token },
 }
 
 #[derive(Debug)]
@@ -84,7 +84,7 @@
     pub(crate) hints: Stamp,
     hints_at: Millis,
     pub(crate) hints_news: bool,
-    /// When our baton was last raised.
+    /// When our token was last raised.
     raised_at: Millis,
 }
 
@@ -98,7 +98,7 @@
 const STALE: Millis = Millis(4_000);
 /// Hints about machines wait longer.
 const STALE_HOSTS: Millis = Millis(15_000);
-/// Our baton is raised this often while tombstones wait for it, and at once when one machine has so
+/// Our token is raised this often while tombstones wait for it, and at once when one machine has so
 /// many.
 const RAISE_EVERY: Millis = Millis(60_000);
 const RAISE_SOON: Millis = Millis(5_000);
@@ -271,7 +271,7 @@
         self.effects.push(Effect::Write { seq, txn });
     }
 
-    /// A leader raises its own baton from time to time, so that tombstones of direct launches can be
+    /// A leader raises its own token from time to time, so that tombstones of direct launches can be
     /// cleared: a copy of the command that launched carries a lower one by then.
     fn draft_raise(&self, now: Millis, draft: &mut Draft) {
         let since = now - self.writer.raised_at;
@@ -279,7 +279,7 @@
             return;
         }
         let tombs = |m: &Machine| m.starts.len() - m.live as usize;
-        let blocked = |s: &Start| s.ended() && s.launched_with == Some(self.lead.baton);
+        let blocked = |s: &Start| s.ended() && s.launched_with == Some(self.lead.token);
         let lost = |m: &Machine| {
             m.starts
                 .values()
@@ -294,10 +294,10 @@
         if !soon && !due {
             return;
         }
-        let baton = Baton(self.lead.baton.0 + 1);
+        let token = Token(self.lead.token.0 + 1);
         let record = LeadRecord {
             host_name: self.lead.host_name.clone(),
-            baton,
+            token,
         };
         let Ok(data) = serde_json::to_value(&record) else {
             return;
@@ -306,12 +306,12 @@
             Change::Put {
                 put: LEAD.into(),
                 data,
-                hold: Some(self.lead.hold),
+                lease: Some(self.lead.lease),
             },
-            Change::put(BATON.into(), baton.0.into()),
+            Change::put(TOKEN.into(), token.0.into()),
         ];
-        let guards = vec![(BATON.to_string(), self.lead.baton_stamp)];
-        draft.add(guards, apply, Work::Raise { baton });
+        let guards = vec![(TOKEN.to_string(), self.lead.token_stamp)];
+        draft.add(guards, apply, Work::Raise { token });
     }
 
     fn draft_hosts(&self, now: Millis, lazy: bool, draft: &mut Draft) {
@@ -604,11 +604,11 @@
                         }
                     }
                 }
-                Work::Raise { baton } => {
-                    tracing::debug!(baton = %baton, "our baton is raised");
-                    self.lead.baton = baton;
+                Work::Raise { token } => {
+                    tracing::debug!(token = %token, "our token is raised");
+                    self.lead.token = token;
                     self.lead.stamp = stamp;
-                    self.lead.baton_stamp = stamp;
+                    self.lead.token_stamp = stamp;
                     self.writer.raised_at = now;
                 }
                 Work::Progress { job, chunk, tasks } => {
@@ -727,8 +727,8 @@
             let stamp = item.as_ref().map_or(Stamp(0), |i| i.stamp);
             if key == LEAD {
                 self.lead_reread(now, item);
-            } else if key == BATON {
-                self.lead.baton_stamp = stamp;
+            } else if key == TOKEN {
+                self.lead.token_stamp = stamp;
             } else if key == HINTS {
                 self.writer.hints = stamp;
             } else if let Some(id) = key.strip_prefix(OPEN) {
@@ -760,19 +760,19 @@
         }
     }
 
-    /// The leader key is ours as long as it is on our lease. It may carry a baton that we raised
+    /// The leader key is ours as long as it is on our lease. It may carry a token that we raised
     /// without learning of it.
     fn lead_reread(&mut self, now: Millis, item: Option<Item>) {
         let ours = item
-            .filter(|i| i.hold == Some(self.lead.hold))
+            .filter(|i| i.lease == Some(self.lead.lease))
             .and_then(|i| {
                 let record: LeadRecord = serde_json::from_value(i.data).ok()?;
-                (record.host_name == self.lead.host_name).then_some((record.baton, i.stamp))
+                (record.host_name == self.lead.host_name).then_some((record.token, i.stamp))
             });
         match ours {
-            Some((baton, stamp)) => {
-                if baton > self.lead.baton {
-                    self.lead.baton = baton;
+            Some((token, stamp)) => {
+                if token > self.lead.token {
+                    self.lead.token = token;
                     self.writer.raised_at = now;
                 }
                 self.lead.stamp = stamp;
--- a/src/duties/front.rs
+++ b/src/duties/front.rs
@@ -155,7 +155,7 @@
         said = node.leader.check_in(node.now(), &report);
     }
     match said {
-        CheckIn::Orders { baton, orders } => Reply::json(200, &CheckInReply { baton, orders }),
+        CheckIn::Orders { token, orders } => Reply::json(200, &CheckInReply { token, orders }),
         CheckIn::Soon => Reply::json(421, &GoElsewhere { leader: None }),
         CheckIn::GoTo(leader) => Reply::json(
             421,
--- a/src/duties/leader.rs
+++ b/src/duties/leader.rs
@@ -4,13 +4,13 @@
 use super::state_client::{StateError, TxnOutcome};
 use super::{lock, time_of_day_ms, Node};
 use crate::bookkeeping::records::{
-    LeadRecord, OpenRecord, BATON, HINTS, HOSTS, INTENTS, LEAD, OPEN, PROGRESS,
+    LeadRecord, OpenRecord, HINTS, HOSTS, INTENTS, LEAD, OPEN, PROGRESS, TOKEN,
 };
 use crate::coordination::leadership::{should_hand_over, Authority, Lead};
 use crate::coordination::recovery::Inheritance;
 use crate::coordination::worker_sessions::CheckInAnswer;
 use crate::coordination::{Core, Effect, Event};
-use crate::ids::{Baton, Epoch, Hold, HostId, JobId, Millis, Stamp};
+use crate::ids::{Epoch, HostId, JobId, LeaseId, Millis, Stamp, Token};
 use crate::protocol::cloud::{CloudHost, HostPage, RentReply, RentRequest, ReturnRequest};
 use crate::protocol::peers::{PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Guard, Item, Txn};
@@ -32,7 +32,7 @@
 /// What a worker's check-in is answered with.
 pub enum CheckIn {
     Orders {
-        baton: Baton,
+        token: Token,
         orders: Vec<Order>,
     },
     GoTo(Option<String>),
@@ -94,7 +94,7 @@
                 self.wake.notify_one();
                 return match answer {
                     CheckInAnswer::Orders(orders) => CheckIn::Orders {
-                        baton: a.core.baton(),
+                        token: a.core.token(),
                         orders,
                     },
                     CheckInAnswer::Refuse => CheckIn::GoTo(None),
@@ -162,29 +162,29 @@
     authority: Arc<Authority>,
 }
 
-/// Tries to take the leader key, raising the durable baton in the same transaction.
+/// Tries to take the leader key, raising the durable token in the same transaction.
 async fn take_lead(node: &Node, lead_stamp: Stamp) -> Option<Won> {
     let life = node.settings.leader.life;
     let sent = node.now();
-    let hold = node.state.grant(life.0 as u64).await.ok()?;
-    let won = take_with(node, lead_stamp, hold, sent).await;
+    let lease = node.state.grant(life.0 as u64).await.ok()?;
+    let won = take_with(node, lead_stamp, lease, sent).await;
     if won.is_none() {
         // A late copy of our transaction can't take the key for a lease that has ended.
-        node.state.revoke(hold).await;
+        node.state.revoke(lease).await;
     }
     won
 }
 
-async fn take_with(node: &Node, lead_stamp: Stamp, hold: Hold, sent: Millis) -> Option<Won> {
-    let old = node.state.get(BATON).await.ok()?;
-    let (last, baton_stamp) = match old {
+async fn take_with(node: &Node, lead_stamp: Stamp, lease: LeaseId, sent: Millis) -> Option<Won> {
+    let old = node.state.get(TOKEN).await.ok()?;
+    let (last, token_stamp) = match old {
         Some(i) => (i.data.as_u64()?, i.stamp),
         None => (0, Stamp(0)),
     };
-    let baton = Baton(last + 1);
+    let token = Token(last + 1);
     let record = LeadRecord {
         host_name: node.settings.platform.host_name.clone(),
-        baton,
+        token,
     };
     let txn = Txn {
         guards: vec![
@@ -193,26 +193,26 @@
                 stamp: lead_stamp,
             },
             Guard {
-                key: BATON.into(),
-                stamp: baton_stamp,
+                key: TOKEN.into(),
+                stamp: token_stamp,
             },
         ],
         apply: vec![
             Change::Put {
                 put: LEAD.into(),
                 data: serde_json::to_value(&record).ok()?,
-                hold: Some(hold),
+                lease: Some(lease),
             },
-            Change::put(BATON.into(), baton.0.into()),
+            Change::put(TOKEN.into(), token.0.into()),
         ],
     };
-    let (stamp, baton_stamp) = match node.state.txn(&txn).await {
+    let (stamp, token_stamp) = match node.state.txn(&txn).await {
         Ok(TxnOutcome::Applied(epoch)) => (Stamp(epoch.0), Stamp(epoch.0)),
         Err(StateError::Unclear) => {
-            // Only what is read settles it: the key carries our lease and this baton, or not.
+            // Only what is read settles it: the key carries our lease and this token, or not.
             let item = node.state.get(LEAD).await.ok()??;
             let record: LeadRecord = serde_json::from_value(item.data).ok()?;
-            if item.hold != Some(hold) || record.baton != baton {
+            if item.lease != Some(lease) || record.token != token {
                 return None;
             }
             // Both keys were written by the same transaction.
@@ -222,11 +222,11 @@
     };
     Some(Won {
         lead: Lead {
-            baton,
-            first: baton,
+            token,
+            first: token,
             stamp,
-            baton_stamp,
-            hold,
+            token_stamp,
+            lease,
             host_name: record.host_name,
         },
         authority: Arc::new(Authority::new(node.settings.leader, sent)),
@@ -236,12 +236,12 @@
 /// Leads until authority is lost.
 async fn lead(node: &Arc<Node>, won: Won) {
     let end = node.stop.child_token();
-    let (first, hold) = (won.lead.first, won.lead.hold);
-    tracing::info!(baton = %first, "leading");
+    let (first, lease) = (won.lead.first, won.lead.lease);
+    tracing::info!(token = %first, "leading");
     let renewing = tokio::spawn(renew(
         node.clone(),
         won.authority.clone(),
-        hold,
+        lease,
         end.clone(),
     ));
     // Guards against a takeover that starves: workers sent here by the others would be sent away and
@@ -266,7 +266,7 @@
                 authority: won.authority.clone(),
             });
             node.leader.taking.send_replace(false);
-            tracing::info!(baton = %first, jobs, "took over");
+            tracing::info!(token = %first, jobs, "took over");
             let mut duties = tokio::task::JoinSet::new();
             duties.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
             let authority = won.authority.clone();
@@ -278,16 +278,16 @@
             end.cancelled().await;
             duties.shutdown().await;
         }
-        _ => tracing::info!(baton = %first, "could not take over"),
+        _ => tracing::info!(token = %first, "could not take over"),
     }
     won.authority.resign();
     *lock(&node.leader.active) = None;
     node.leader.taking.send_replace(false);
     end.cancel();
     let _ = renewing.await;
-    tracing::info!(baton = %first, "leading no more");
+    tracing::info!(token = %first, "leading no more");
     // Others needn't wait for a lease that we don't use. Everything of ours has stopped by now.
-    node.state.revoke(hold).await;
+    node.state.revoke(lease).await;
 }
 
 /// Touches the lease until authority is lost. A touch doesn't wait for the answer to the one before.
@@ -295,7 +295,7 @@
 /// Guards against a leader that ends a moment after a takeover: a thousand workers reported at once,
 /// answers waited in the sockets for longer than an ordinary call may take, and every touch was given
 /// up though it had been answered. Each is good from when it was sent, however late it is read.
-async fn renew(node: Arc<Node>, authority: Arc<Authority>, hold: Hold, end: CancellationToken) {
+async fn renew(node: Arc<Node>, authority: Arc<Authority>, lease: LeaseId, end: CancellationToken) {
     let life = node.settings.leader.life.0 as u64;
     let every = Duration::from_millis(life / TOUCHES);
     let mut touches = tokio::task::JoinSet::new();
@@ -313,7 +313,7 @@
             let (node, authority) = (node.clone(), authority.clone());
             touches.spawn(async move {
                 let sent = node.now();
-                match node.state.touch(hold, Duration::from_millis(life)).await {
+                match node.state.touch(lease, Duration::from_millis(life)).await {
                     Ok(()) => authority.renewed(sent),
                     Err(StateError::NoLease) => {
                         tracing::info!("the leader's lease is over");
@@ -629,13 +629,13 @@
             host,
             endpoint,
             seq,
-            baton,
-            tenure,
+            token,
+            session,
             orders,
         } => {
             let commands = Commands {
-                baton,
-                tenure,
+                token,
+                session,
                 orders,
             };
             Some(direct(node, host, &endpoint, seq, &commands).await)
--- a/src/duties/state_client.rs
+++ b/src/duties/state_client.rs
@@ -1,6 +1,6 @@
 //! Typed calls to the state service. Every failure says whether the request can have been executed.
 
-use crate::ids::{Epoch, Hold, Millis};
+use crate::ids::{Epoch, LeaseId, Millis};
 use crate::protocol::state::{AtEpoch, Conflict, Granted, Item, NewsPage, Page, Txn};
 use crate::transport::client::{Answer, Client, NoAnswer};
 use hyper::Method;
@@ -160,18 +160,18 @@
     }
 
     /// A new lease.
-    pub async fn grant(&self, life_ms: u64) -> Result<Hold, StateError> {
+    pub async fn grant(&self, life_ms: u64) -> Result<LeaseId, StateError> {
         let body = format!("{{\"lifeMs\":{life_ms}}}").into_bytes();
         let a = self.call(Method::POST, "/grants", Some(body), CALL).await?;
         if a.status != 200 {
             return Err(StateError::Unclear);
         }
-        Ok(Self::read::<Granted>(&a)?.hold)
+        Ok(Self::read::<Granted>(&a)?.lease)
     }
 
     /// Renews a lease.
-    pub async fn touch(&self, hold: Hold, deadline: Duration) -> Result<(), StateError> {
-        let path = format!("/grants/{hold}/touch");
+    pub async fn touch(&self, lease: LeaseId, deadline: Duration) -> Result<(), StateError> {
+        let path = format!("/grants/{lease}/touch");
         let a = self
             .call(Method::POST, &path, Some(b"{}".to_vec()), deadline)
             .await?;
@@ -183,8 +183,8 @@
     }
 
     /// Ends a lease.
-    pub async fn revoke(&self, hold: Hold) {
-        let path = format!("/grants/{hold}");
+    pub async fn revoke(&self, lease: LeaseId) {
+        let path = format!("/grants/{lease}");
         let _ = self.call(Method::DELETE, &path, None, CALL).await;
     }
 
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -51,10 +51,10 @@
 }
 
 number!(/// Names the controller entitled to command; unique and increasing for ever.
-    Baton);
+    Token);
 number!(/// A worker's session; a new one begins when its lease ran out.
-    Tenure);
-number!(/// Orders a worker's messages within a tenure.
+    Session);
+number!(/// Orders a worker's messages within a session.
     Tick);
 number!(/// Tells one start of a task from another; never used twice for a task.
     Try);
@@ -63,7 +63,7 @@
 number!(/// The revision of the whole state service.
     Epoch);
 number!(/// A lease held on the state service.
-    Hold);
+    LeaseId);
 
 /// One page of records that are packed together on the state service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/protocol/state.rs
+++ b/src/protocol/state.rs
@@ -1,6 +1,6 @@
 //! Controllers -> state service.
 
-use crate::ids::{Epoch, Hold, Stamp};
+use crate::ids::{Epoch, LeaseId, Stamp};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -11,8 +11,8 @@
     #[serde(default)]
     pub data: Value,
     pub stamp: Stamp,
-    #[serde(default)]
-    pub hold: Option<Hold>,
+    #[serde(rename = "hold", default)]
+    pub lease: Option<LeaseId>,
 }
 
 /// One page of a listing.
@@ -38,8 +38,8 @@
     Put {
         put: String,
         data: Value,
-        #[serde(skip_serializing_if = "Option::is_none")]
-        hold: Option<Hold>,
+        #[serde(rename = "hold", skip_serializing_if = "Option::is_none")]
+        lease: Option<LeaseId>,
     },
     Delete {
         delete: String,
@@ -52,7 +52,7 @@
         Change::Put {
             put: key,
             data,
-            hold: None,
+            lease: None,
         }
     }
     /// The key changed.
@@ -87,7 +87,8 @@
 /// The answer to granting a lease.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Granted {
-    pub hold: Hold,
+    #[serde(rename = "hold")]
+    pub lease: LeaseId,
 }
 
 /// One change told by a watch.
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -1,6 +1,6 @@
 //! Workers <-> controllers: reports and orders.
 
-use crate::ids::{Baton, HostId, PieceId, Rig, Site, Tenure, Tick, Try};
+use crate::ids::{HostId, PieceId, Rig, Session, Site, Tick, Token, Try};
 use serde::{Deserialize, Serialize};
 
 /// What a worker says of itself, in check-ins and in the answers of `/commands` and `/inspect`.
@@ -12,10 +12,11 @@
     pub site: Site,
     #[serde(rename = "loaners", default)]
     pub spot: bool,
-    pub tenure: Tenure,
+    #[serde(rename = "tenure")]
+    pub session: Session,
     pub tick: Tick,
-    #[serde(default)]
-    pub baton: Baton,
+    #[serde(rename = "baton", default)]
+    pub token: Token,
     #[serde(rename = "recallS", default)]
     pub recall_s: Option<f64>,
     #[serde(default)]
@@ -93,7 +94,8 @@
 /// The body of a 200 to a check-in.
 #[derive(Serialize)]
 pub struct CheckInReply {
-    pub baton: Baton,
+    #[serde(rename = "baton")]
+    pub token: Token,
     pub orders: Vec<Order>,
 }
 
@@ -107,7 +109,9 @@
 /// The body of `POST /commands`.
 #[derive(Clone, Debug, Serialize)]
 pub struct Commands {
-    pub baton: Baton,
-    pub tenure: Tenure,
+    #[serde(rename = "baton")]
+    pub token: Token,
+    #[serde(rename = "tenure")]
+    pub session: Session,
     pub orders: Vec<Order>,
 }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -87,7 +87,7 @@
         key,
         data,
         stamp: Stamp(1),
-        hold: None,
+        lease: None,
     };
     Inheritance {
         open,
@@ -113,18 +113,18 @@
     }
 }
 
-fn lead(baton: u64) -> Lead {
+fn lead(token: u64) -> Lead {
     Lead {
-        baton: Baton(baton),
-        first: Baton(baton),
+        token: Token(token),
+        first: Token(token),
         stamp: Stamp(2),
-        baton_stamp: Stamp(2),
-        hold: Hold(1),
+        token_stamp: Stamp(2),
+        lease: LeaseId(1),
         host_name: "n".into(),
     }
 }
 
-fn report(n: u64, tick: u64, baton: u64, ended: usize) -> Report {
+fn report(n: u64, tick: u64, token: u64, ended: usize) -> Report {
     let pieces = (0..GPUS).map(|t| {
         let ends = (t as usize) < ended;
         PieceReport {
@@ -145,9 +145,9 @@
         rig: Rig::from("box"),
         site: Site::from("a"),
         spot: false,
-        tenure: Tenure(1),
+        session: Session(1),
         tick: Tick(tick),
-        baton: Baton(baton),
+        token: Token(token),
         recall_s: None,
         pieces: pieces.collect(),
     }
@@ -173,7 +173,7 @@
         effects.iter().all(|e| matches!(e, Effect::Write { .. })),
         "{effects:?}"
     );
-    // Twice everybody reports, the second time with our baton: every start is confirmed, none is
+    // Twice everybody reports, the second time with our token: every start is confirmed, none is
     // touched, and no report asks for a write or a command.
     let mut asked = 0;
     for round in 1..=2u64 {
--- a/tests/loopback.rs
+++ b/tests/loopback.rs
@@ -249,17 +249,17 @@
     name: String,
     endpoint: String,
     tick: u64,
-    baton: u64,
+    token: u64,
     tasks: BTreeMap<(String, u64), Instant>,
     seen: Arc<Seen>,
 }
 
 impl Worker {
-    fn obey(&mut self, baton: u64, orders: &Value) {
-        if baton < self.baton {
+    fn obey(&mut self, token: u64, orders: &Value) {
+        if token < self.token {
             return;
         }
-        self.baton = baton;
+        self.token = token;
         for o in orders.as_array().unwrap() {
             let key = (
                 o["piece"].as_str().unwrap().to_string(),
@@ -293,7 +293,7 @@
             })
             .collect();
         json!({"host": self.name, "endpoint": self.endpoint, "rig": "box", "site": "a", "loaners": false,
-            "tenure": 1, "tick": self.tick, "baton": self.baton, "recallS": null, "pieces": pieces, "new": {"unknown": 1}})
+            "tenure": 1, "tick": self.tick, "baton": self.token, "recallS": null, "pieces": pieces, "new": {"unknown": 1}})
     }
 }
 
@@ -317,7 +317,7 @@
                 name: name.clone(),
                 endpoint: String::new(),
                 tick: 0,
-                baton: 0,
+                token: 0,
                 tasks: BTreeMap::new(),
                 seen: seen.clone(),
             }));
@@ -663,7 +663,7 @@
     }
 }
 
-/// A check-in of a machine that nobody rented: what a controller answers, and its baton.
+/// A check-in of a machine that nobody rented: what a controller answers, and its token.
 fn check_in(front: &str, tick: u64) -> Option<(u16, u64)> {
     let report = json!({"host": "host-900000", "endpoint": "127.0.0.1:1", "rig": "box", "site": "a",
         "loaners": false, "tenure": 1, "tick": tick, "baton": 0, "recallS": null, "pieces": []});
@@ -671,15 +671,15 @@
     Some((status, body["baton"].as_u64().unwrap_or(0)))
 }
 
-/// Which controller leads, other than the one excepted, and its baton.
+/// Which controller leads, other than the one excepted, and its token.
 fn leader(c: &Cluster, tick: &mut u64, not: Option<usize>) -> (usize, u64) {
     wait_for("a leader", || {
         (0..c.fronts.len())
             .filter(|i| Some(*i) != not)
             .find_map(|i| {
                 *tick += 1;
-                let (status, baton) = check_in(&c.fronts[i], *tick)?;
-                (status == 200).then_some((i, baton))
+                let (status, token) = check_in(&c.fronts[i], *tick)?;
+                (status == 200).then_some((i, token))
             })
     })
 }
@@ -785,13 +785,13 @@
 fn a_leader_with_workers_only_falls_silent() {
     let c = cluster("workers-only", 3, 500, None);
     let mut tick = 0;
-    let (first, baton) = leader(&c, &mut tick, None);
+    let (first, token) = leader(&c, &mut tick, None);
     wait_for("taken", || {
         submit(&c.fronts[first], &job("wk-000010", 6)).filter(|s| *s == 201)
     });
     c.ways[first].cut(true);
     let (second, higher) = leader(&c, &mut tick, Some(first));
-    assert!(higher > baton && second != first);
+    assert!(higher > token && second != first);
     // It still hears workers, and answers none of them as their leader.
     let (status, _) = check_in(&c.fronts[first], 1_000_000).unwrap();
     assert!(status == 421 || status == 503, "{status}");
@@ -819,10 +819,10 @@
         tick += 1;
         check_in(&c.fronts[0], tick).filter(|(status, _)| *status == 200)
     };
-    let (_, baton) = wait_for("a leader", &mut leads);
+    let (_, token) = wait_for("a leader", &mut leads);
     c.ways[0].delay_ms.store(2000, Ordering::Relaxed);
     std::thread::sleep(Duration::from_secs(20));
-    assert_eq!(leads(), Some((200, baton)));
+    assert_eq!(leads(), Some((200, token)));
 }
 
 /// More connections than seats: users' idle ones make room, a worker's stays, and the controller
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -54,14 +54,14 @@
     assert_eq!(phases[..2], [PiecePhase::Fetching, PiecePhase::Running]);
     assert_eq!(r.pieces[2].cause, Some(Cause::MatesGone));
     assert_eq!(r.pieces[3].cause, Some(Cause::Error));
-    assert!(r.pieces[2].stored && r.baton == Baton(41));
+    assert!(r.pieces[2].stored && r.token == Token(41));
 }
 
 #[test]
 fn orders_and_transactions_are_written_as_the_protocol_says() {
     let piece = PieceId::parse("wk-000377/1").unwrap();
     let reply = CheckInReply {
-        baton: Baton(41),
+        token: Token(41),
         orders: vec![
             Order::Launch {
                 piece: piece.clone(),
@@ -92,7 +92,7 @@
             Change::Put {
                 put: "a/b".into(),
                 data: json!(1),
-                hold: Some(Hold(7)),
+                lease: Some(LeaseId(7)),
             },
             Change::put("e".into(), json!({})),
             Change::Delete {
--- a/tests/world/checker.rs
+++ b/tests/world/checker.rs
@@ -217,7 +217,7 @@
                 }
                 let there = w.on_machine().any(|(q, u)| q == p && std::ptr::eq(u, t));
                 if there {
-                    on.insert((p.clone(), w.id.clone(), w.tenure.0, *a));
+                    on.insert((p.clone(), w.id.clone(), w.session.0, *a));
                 }
             }
         }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -40,28 +40,28 @@
     CheckIn(Report, Millis),
     Orders {
         host: HostId,
-        baton: Baton,
+        token: Token,
         orders: Vec<Order>,
         asked: Millis,
-        tenure: Tenure,
+        session: Session,
     },
     Direct {
-        leader: Baton,
-        baton: Baton,
+        leader: Token,
+        token: Token,
         host: HostId,
         seq: u64,
-        tenure: Tenure,
+        session: Session,
         orders: Vec<Order>,
     },
-    ToCore(Baton, Event),
+    ToCore(Token, Event),
     Apply {
-        leader: Baton,
+        leader: Token,
         seq: u64,
         txn: Txn,
         answer: bool,
     },
     Returned {
-        leader: Baton,
+        leader: Token,
         hosts: Vec<HostId>,
     },
 }
@@ -96,10 +96,10 @@
     /// Controllers don't hear of each other until then.
     pub peers_cut: Millis,
     seen_epoch: Epoch,
-    holds: u64,
+    leases: u64,
     messages: Vec<(Millis, u64, Message)>,
     /// Direct commands that were answered: they aren't given up as well.
-    answered: BTreeSet<(Baton, u64)>,
+    answered: BTreeSet<(Token, u64)>,
     sent: u64,
     hired: BTreeMap<String, Vec<HostId>>,
     rented: u32,
@@ -147,7 +147,7 @@
             rng: StdRng::seed_from_u64(seed),
             core: None,
             seen_epoch: Epoch(0),
-            holds: 0,
+            leases: 0,
             messages: Vec::new(),
             answered: BTreeSet::new(),
             sent: 0,
@@ -220,7 +220,7 @@
         assert!(self.store.apply(&txn).is_some());
         self.checker.cancelled(id, self.now);
         // Whoever confirmed it tells its siblings.
-        if let Some(leader) = self.core.as_ref().map(Core::first_baton) {
+        if let Some(leader) = self.core.as_ref().map(Core::first_token) {
             if self.campaigns && self.now >= self.peers_cut {
                 let closed = Event::JobClosed { id: id.clone() };
                 self.send(10, Message::ToCore(leader, closed));
@@ -278,13 +278,13 @@
 
     /// A new leader takes over.
     pub fn lead(&mut self) {
-        let last = self.store.get(BATON);
-        let baton = Baton(last.as_ref().and_then(|i| i.data.as_u64()).unwrap_or(0) + 1);
-        self.holds += 1;
-        let hold = Hold(self.holds);
+        let last = self.store.get(TOKEN);
+        let token = Token(last.as_ref().and_then(|i| i.data.as_u64()).unwrap_or(0) + 1);
+        self.leases += 1;
+        let lease = LeaseId(self.leases);
         let record = LeadRecord {
-            host_name: format!("controller-{}", self.holds),
-            baton,
+            host_name: format!("controller-{}", self.leases),
+            token,
         };
         let txn = Txn {
             guards: Vec::new(),
@@ -292,9 +292,9 @@
                 Change::Put {
                     put: LEAD.into(),
                     data: serde_json::to_value(&record).unwrap(),
-                    hold: Some(hold),
+                    lease: Some(lease),
                 },
-                Change::put(BATON.into(), baton.0.into()),
+                Change::put(TOKEN.into(), token.0.into()),
             ],
         };
         let stamp = Stamp(self.store.apply(&txn).unwrap().0);
@@ -322,11 +322,11 @@
         };
         self.seen_epoch = self.store.epoch;
         let lead = Lead {
-            baton,
-            first: baton,
+            token,
+            first: token,
             stamp,
-            baton_stamp: stamp,
-            hold,
+            token_stamp: stamp,
+            lease,
             host_name: record.host_name,
         };
         self.authority = self.campaigns.then(|| Authority::new(self.times, now));
@@ -488,39 +488,39 @@
                     return;
                 };
                 if let CheckInAnswer::Orders(orders) = core.check_in(now, &report) {
-                    let baton = core.baton();
+                    let token = core.token();
                     self.launches_leave(&orders);
                     let host = report.host.clone();
                     let m = Message::Orders {
                         host: host.clone(),
-                        baton,
+                        token,
                         orders,
                         asked,
-                        tenure: report.tenure,
+                        session: report.session,
                     };
                     self.through_cut(&host, 10, m);
                 }
             }
             Message::Orders {
                 host,
-                baton,
+                token,
                 orders,
                 asked,
-                tenure,
+                session,
             } => {
                 let Some(w) = self.workers.get_mut(&host) else {
                     return;
                 };
-                // The worker drops answers after 4 s, of earlier sessions, and of lower batons.
+                // The worker drops answers after 4 s, of earlier sessions, and of lower tokens.
                 if now - asked > Millis(4000)
                     || w.deaf(now)
-                    || w.tenure != tenure
-                    || baton < w.baton
+                    || w.session != session
+                    || token < w.token
                     || !w.awake(now)
                 {
                     return;
                 }
-                w.baton = baton;
+                w.token = token;
                 w.lease_from = asked;
                 for o in &orders {
                     w.execute(
@@ -535,10 +535,10 @@
             }
             Message::Direct {
                 leader,
-                baton,
+                token,
                 host,
                 seq,
-                tenure,
+                session,
                 orders,
             } => {
                 let Some(w) = self.workers.get_mut(&host) else {
@@ -551,10 +551,10 @@
                         wait,
                         Message::Direct {
                             leader,
-                            baton,
+                            token,
                             host,
                             seq,
-                            tenure,
+                            session,
                             orders,
                         },
                     );
@@ -563,8 +563,8 @@
                 if w.deaf(now) {
                     return;
                 }
-                if baton >= w.baton && tenure == w.tenure {
-                    w.baton = baton;
+                if token >= w.token && session == w.session {
+                    w.token = token;
                     for o in &orders {
                         w.execute(
                             now,
@@ -592,7 +592,7 @@
                         return;
                     }
                 }
-                if let Some(core) = self.core.as_mut().filter(|c| c.first_baton() == leader) {
+                if let Some(core) = self.core.as_mut().filter(|c| c.first_token() == leader) {
                     core.on(now, event);
                 }
             }
@@ -602,7 +602,7 @@
                 txn,
                 answer,
             } => {
-                let current = self.core.as_ref().map(Core::first_baton) == Some(leader);
+                let current = self.core.as_ref().map(Core::first_token) == Some(leader);
                 if now < self.state_down || (current && now < self.leader_refused) {
                     if answer {
                         self.send(10, Message::ToCore(leader, Event::NotWritten { seq }));
@@ -705,7 +705,7 @@
     }
 
     fn carry_out(&mut self, e: Effect) {
-        let Some(leader) = self.core.as_ref().map(Core::first_baton) else {
+        let Some(leader) = self.core.as_ref().map(Core::first_token) else {
             return;
         };
         let now = self.now;
@@ -759,8 +759,8 @@
             Effect::Direct {
                 host,
                 seq,
-                baton,
-                tenure,
+                token,
+                session,
                 orders,
                 ..
             } => {
@@ -773,10 +773,10 @@
                 self.send(2500, Message::ToCore(leader, lost));
                 let m = |orders| Message::Direct {
                     leader,
-                    baton,
+                    token,
                     host: host.clone(),
                     seq,
-                    tenure,
+                    session,
                     orders,
                 };
                 if self.rng.random_bool(self.repeats) {
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -33,12 +33,12 @@
         for c in &txn.apply {
             self.changes.push((self.epoch, c.key().to_string()));
             match c {
-                Change::Put { put, data, hold } => {
+                Change::Put { put, data, lease } => {
                     let item = Item {
                         key: put.clone(),
                         data: data.clone(),
                         stamp: Stamp(self.epoch.0),
-                        hold: *hold,
+                        lease: *lease,
                     };
                     self.items.insert(put.clone(), item);
                 }
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -27,8 +27,8 @@
     pub spot: bool,
     pub rented_at: Millis,
     pub up_at: Millis,
-    pub tenure: Tenure,
-    pub baton: Baton,
+    pub session: Session,
+    pub token: Token,
     pub lease_from: Millis,
     pub tasks: BTreeMap<(PieceId, Try), Task>,
     pub sick: bool,
@@ -58,8 +58,8 @@
             spot,
             rented_at: now,
             up_at: up,
-            tenure: Tenure(1),
-            baton: Baton(0),
+            session: Session(1),
+            token: Token(0),
             lease_from: up,
             tasks: BTreeMap::new(),
             sick: false,
@@ -130,9 +130,9 @@
             rig: self.rig.clone(),
             site: self.site.clone(),
             spot: self.spot,
-            tenure: self.tenure,
+            session: self.session,
             tick: Tick(self.tick),
-            baton: self.baton,
+            token: self.token,
             recall_s: self.recall_at.map(|_| 10.0),
             pieces: self
                 .tasks
@@ -179,7 +179,7 @@
         // machine hangs: beyond it, nothing of it resumes.
         if self.up_at <= now && (now - self.lease_from).secs() > times.lease_s {
             self.tasks.clear();
-            self.tenure = Tenure(self.tenure.0 + 1);
+            self.session = Session(self.session.0 + 1);
             self.lease_from = now;
             self.changed = true;
         }
