--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -124,7 +124,7 @@
         };
         tracing::debug!(host = %host, sent, "direct command not answered");
         self.settle_direct(host, seq, end);
-        self.stop_again(host);
+        self.stop_again(now, host);
         self.direct_due.insert(host.clone());
     }
 
@@ -145,9 +145,12 @@
     }
 
     /// A direct command went unanswered: what it should have stopped is told again. Check-ins tell it
-    /// too, but from a machine that reaches no controller none comes.
-    fn stop_again(&mut self, host: &HostId) {
-        if let Some(m) = self.machines.get_mut(host) {
+    /// too, but from a machine that reaches no controller none comes. One that was not heard of at all
+    /// lately is left alone: a zone beyond a cut would take the connections of all others.
+    fn stop_again(&mut self, now: Millis, host: &HostId) {
+        let silence = self.policy.silence();
+        let near = |m: &&mut Machine| m.heard.is_some_and(|h| now - h <= silence);
+        if let Some(m) = self.machines.get_mut(host).filter(near) {
             for w in m.starts.values_mut().filter_map(|s| s.stop.as_mut()) {
                 w.sent_direct = false;
             }
