A job that fails everywhere tries one task at a time and condemns no machine

Mend: once a job has failed on three machines and succeeded nowhere, one task tries while the rest wait, nothing is rented for them, and the marks on the machines it failed on first are taken back.

--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -147,6 +147,10 @@
     pub fn complete(&self) -> bool {
         self.spec.shape != Shape::Service && self.done.count() >= self.spec.pieces
     }
+    /// Whether it has failed on several machines and never succeeded: most likely it fails on all.
+    pub fn mistaken(&self) -> bool {
+        self.failed_on.len() > 2 && self.done.count() == 0
+    }
     /// Whether a task still has to run.
     pub fn wants(&self, index: u32) -> bool {
         !self.over && index < self.spec.pieces && !self.done.has(index)
@@ -346,8 +350,9 @@
     pub images: Vec<(Image, f64)>,
     /// Idle since.
     pub idle_since: Option<Millis>,
-    /// Jobs whose tasks failed here with no success between.
+    /// Jobs whose tasks failed here with no success between, and whether it is emptied for that.
     pub failed_jobs: BTreeSet<JobId>,
+    pub sick: bool,
     /// The direct command under way, and no further one before this time.
     pub direct_seq: Option<u64>,
     pub direct_after: Millis,
@@ -402,6 +407,7 @@
             images: Vec::new(),
             idle_since: None,
             failed_jobs: BTreeSet::new(),
+            sick: false,
             direct_seq: None,
             direct_after: now,
             full_until: now,
@@ -455,6 +461,16 @@
         }
     }
 
+    /// A job has turned out to fail everywhere: what it did here says nothing of the machine.
+    pub fn pardon(&mut self, job: &JobId, most: usize) {
+        let removed = self.failed_jobs.remove(job);
+        if removed && self.sick && self.failed_jobs.len() < most && self.standing == Standing::Up {
+            self.sick = false;
+            self.drain = false;
+            self.drain_since = None;
+        }
+    }
+
     /// Whether the image should be in the cache.
     pub fn has_image(&self, image: &Image) -> bool {
         self.images.iter().any(|(i, _)| i == image)
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -45,6 +45,8 @@
 const SPREAD: f64 = 1.4;
 /// A task past its estimate is taken to run on for this part of what it has run.
 const TAIL: f64 = 0.35;
+/// A task of a job that failed on several machines has run for this long: the job isn't mistaken.
+const PROVEN: Millis = Millis(6_000);
 /// Machines a job has failed on are avoided up to this many; past it, it is the job that is bad.
 const AVOID: usize = 3;
 
@@ -440,6 +442,18 @@
         Amount::of(spec).count_in(&room, spec.pieces)
     }
 
+    /// Whether a task of the job has run for long enough to say that the job can run.
+    fn proves_itself(&self, now: Millis, id: &JobId, job: &Job) -> bool {
+        let hosts = job.places.values().flatten();
+        let starts = hosts
+            .filter_map(|h| self.machines.get(h))
+            .flat_map(Machine::going);
+        let mut since = starts
+            .filter(|s| s.piece.job == *id)
+            .filter_map(|s| s.running_since);
+        since.any(|t| now - t > PROVEN)
+    }
+
     /// Places what it can of one job; says how many tasks could start but for want of machines.
     fn place_job(&mut self, now: Millis, id: &JobId, pass: &mut Pass) -> u32 {
         let Some(job) = self.jobs.get(id) else {
@@ -457,7 +471,16 @@
             // Nothing while a task of the last attempt lingers anywhere.
             return 0;
         }
-        let could = head.min(job.pending.len() as u32);
+        let mut could = head.min(job.pending.len() as u32);
+        if !gang && job.mistaken() && !self.proves_itself(now, id, job) {
+            // Guards against a job submitted with a mistake whose tasks all start and fail again and
+            // again, with a write for each and machines rented for all: one task tries, the rest wait
+            // for how it fares.
+            could = could.min(u32::from(job.places.is_empty()));
+            if could == 0 {
+                return 0;
+            }
+        }
         let keep = |pass: &mut Pass, n: f64| {
             if let Some(u) = team.and_then(|t| pass.used.get_mut(t.0)) {
                 u.add(&Amount::of(&spec).times(n));
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -485,19 +485,31 @@
         job.failures += 1;
         job.failed_on.insert(host.clone());
         // A job that failed on several machines backs off and condemns none of them.
-        let suspect = job.failed_on.len() > 2;
+        let mistaken = job.mistaken();
+        let failed_on = job.failed_on.clone();
         if job.failed_on.len() > 1 {
             let step = JOB_BACKOFF.0 .0 << (job.failed_on.len() as u32 - 2).min(5);
             job.not_before = now + Millis(step.min(JOB_BACKOFF.1 .0));
         }
+        if mistaken {
+            // Guards against jobs submitted with a mistake that take machines down with them: the marks
+            // of the first machines that it failed on are taken back.
+            for host in &failed_on {
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.pardon(&piece.job, most);
+                }
+                self.index_machine(host);
+            }
+        }
         if let Some(m) = self.machines.get_mut(host) {
-            if !suspect {
+            if !mistaken {
                 m.failed_jobs.insert(piece.job.clone());
             }
             m.full_until = now + Millis(2000);
             if m.failed_jobs.len() >= most && !m.drain {
                 tracing::info!(host = %host, "sick: tasks of different jobs fail here");
                 m.start_drain(now);
+                m.sick = true;
             }
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -20,7 +20,7 @@
 /// Words after the first, as `name value` pairs; bare flags have an empty value.
 struct Words<'a>(Vec<&'a str>);
 
-const FLAGS: [&str; 4] = ["together", "scatter", "spot", "never"];
+const FLAGS: [&str; 5] = ["together", "scatter", "spot", "never", "mistaken"];
 
 impl<'a> Words<'a> {
     fn get(&self, name: &str) -> Option<&'a str> {
@@ -192,7 +192,10 @@
             let after = words
                 .get("after")
                 .map_or(Vec::new(), |l| l.split(',').map(JobId::from).collect());
-            w.submit(spec(rest), words.num("run", 10.0), after);
+            // A job submitted with a mistake fails wherever it runs.
+            let run = words.num("run", 10.0);
+            let run = if words.has("mistaken") { -run } else { run };
+            w.submit(spec(rest), run, after);
         }
         "cancel" => assert!(w.cancel(&JobId::from(rest[0])), "confirmed: {}", rest[0]),
         // The job may be over: then it stays as it is.
@@ -345,6 +348,12 @@
             let n = w.checker.starts.get(&piece).copied().unwrap_or(0);
             assert_eq!(n.to_string(), rest[2], "{file}: starts of {piece}");
         }
+        "tries" => {
+            let of = |(p, _): &(&PieceId, &u32)| p.job == job();
+            let n: u32 = w.checker.starts.iter().filter(of).map(|(_, n)| n).sum();
+            let most = words.num("most", 1e9);
+            assert!(f64::from(n) <= most, "{file}: {n} starts of {}", rest[1]);
+        }
         "running" => {
             let n = w
                 .workers
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -17,6 +17,8 @@
     /// When the present phase ends by itself.
     pub until: Millis,
     left_s: f64,
+    /// Its job was submitted with a mistake.
+    fails: bool,
     running_from: Millis,
 }
 
@@ -194,7 +196,7 @@
             match t.phase {
                 PiecePhase::Fetching => {
                     self.images.insert(spec.image.clone());
-                    if t.left_s < 0.0 {
+                    if t.left_s < 0.0 && !t.fails {
                         Self::end(t, Cause::Done);
                     } else if spec.shape == Shape::Gang {
                         t.phase = PiecePhase::Waiting;
@@ -204,7 +206,7 @@
                     }
                 }
                 PiecePhase::Waiting => Self::end(t, Cause::Incomplete),
-                PiecePhase::Running if self.sick => Self::end(t, Cause::Error),
+                PiecePhase::Running if self.sick || t.fails => Self::end(t, Cause::Error),
                 PiecePhase::Running => {
                     // The result is kept: a later start ends as done once it has its image. A gang
                     // completes as a whole.
@@ -266,7 +268,14 @@
                     cause: None,
                     stored: false,
                     until: now + Millis::from_secs(fetch),
-                    left_s: if self.sick { 0.5 } else { left_s },
+                    left_s: if self.sick {
+                        0.5
+                    } else if runs[&piece.job] < 0.0 {
+                        0.2
+                    } else {
+                        left_s
+                    },
+                    fails: runs[&piece.job] < 0.0,
                     running_from: now,
                 };
                 let other = |(p, _): &(PieceId, Try)| p == piece;
