--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -483,6 +483,16 @@
     assert!(failed.is_empty(), "failed: {failed:?}");
 }
 
+/// No rule is broken, and every job that wasn't cancelled is done.
+fn ended_well(w: &mut World, seed: u64, cancelled: &[JobId]) {
+    w.checker.at_end(w.now);
+    let broken = &w.checker.broken;
+    assert!(broken.is_empty(), "seed {seed}: {:?}", w.checker.first);
+    for id in w.specs.keys().filter(|id| !cancelled.contains(id)) {
+        assert_eq!(w.poll(id), Some(JobPhase::Done), "seed {seed}: {id}");
+    }
+}
+
 /// Pairs of troubles, random and seeded, with leaders that come and go by their leases: the rules hold
 /// and every job comes to its end.
 #[test]
@@ -547,15 +557,7 @@
         }
         (w.copies, w.repeats) = (0.0, 0.0);
         w.run_until(w.now + Millis(500_000));
-        w.checker.at_end(w.now);
-        assert!(
-            w.checker.broken.is_empty(),
-            "seed {seed}: {:?}",
-            w.checker.first
-        );
-        for id in w.specs.keys().filter(|id| !cancelled.contains(id)) {
-            assert_eq!(w.poll(id), Some(JobPhase::Done), "seed {seed}: {id}");
-        }
+        ended_well(&mut w, seed, &cancelled);
     }
 }
 
@@ -686,14 +688,6 @@
         w.drop_reports = 0.0;
         let end = w.now + Millis(400_000);
         w.run_until(end);
-        w.checker.at_end(w.now);
-        assert!(
-            w.checker.broken.is_empty(),
-            "seed {seed}: {:?}",
-            w.checker.first
-        );
-        for id in w.specs.keys().filter(|id| !cancelled.contains(id)) {
-            assert_eq!(w.poll(id), Some(JobPhase::Done), "seed {seed}: {id}");
-        }
+        ended_well(&mut w, seed, &cancelled);
     }
 }
