--- a/src/bookkeeping/ledger.rs
+++ b/src/bookkeeping/ledger.rs
@@ -464,7 +464,9 @@
     /// A job has turned out to fail everywhere: what it did here says nothing of the machine.
     pub fn pardon(&mut self, job: &JobId, most: usize) {
         let removed = self.failed_jobs.remove(job);
-        if removed && self.sick && self.failed_jobs.len() < most && self.standing == Standing::Up {
+        // One that is given up for another reason stays so.
+        let in_use = self.standing == Standing::Up && !self.shunned;
+        if removed && self.sick && in_use && self.failed_jobs.len() < most {
             self.sick = false;
             self.drain = false;
             self.drain_since = None;
