--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -1,6 +1,6 @@
 //! Arrivals seen, class by class: what is to be expected next.
 
-use super::placement::Observed;
+use super::estimates::Observed;
 use super::Core;
 use crate::ids::Millis;
 use crate::protocol::users::JobSpec;
--- /dev/null
+++ b/src/coordination/estimates.rs
@@ -0,0 +1,124 @@
+//! How long tasks run, and how much work a job is: the owners' guesses, corrected by what was seen.
+
+use super::Core;
+use crate::bookkeeping::ledger::Job;
+use crate::ids::{HostId, Millis, PieceId, Try};
+use crate::protocol::users::JobSpec;
+use serde::{Deserialize, Serialize};
+
+/// Run times seen against those guessed, for one class.
+#[derive(Debug, Default, Clone, Copy, Serialize, Deserialize)]
+pub struct Observed {
+    ran_s: f64,
+    guessed_s: f64,
+    count: u32,
+    /// By how much the longest task of a job outlasts the average one.
+    #[serde(default)]
+    longer: Option<f64>,
+}
+
+/// So many tasks of a job must be done to say how long the others run; they differ by up to this.
+const ALIKE: u32 = 3;
+const SPREAD: f64 = 1.4;
+/// A task past its estimate is taken to run on for this part of what it has run.
+const TAIL: f64 = 0.35;
+
+impl Core {
+    pub(crate) fn note_run_time(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try)) {
+        let Some(since) = self
+            .machines
+            .get(host)
+            .and_then(|m| m.starts.get(key))
+            .and_then(|s| s.running_since)
+        else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&key.0.job) else {
+            return;
+        };
+        let ran_s = (now - since).secs();
+        job.ran_s += ran_s;
+        job.ran_most_s = job.ran_most_s.max(ran_s);
+        job.ran += 1;
+        // All are done but this one, which is about to be.
+        let whole = job.ran >= ALIKE && job.done.count() + 1 >= job.spec.pieces;
+        let longer = (whole && job.ran_s > 0.0)
+            .then(|| job.ran_most_s * f64::from(job.ran) / job.ran_s - 1.0);
+        if job.spec.guess_s <= 0.0 {
+            return;
+        }
+        let o = self.observed.entry(job.spec.class.clone()).or_default();
+        if let Some(l) = longer {
+            let before = o.longer.unwrap_or(l);
+            o.longer = Some(before + (l - before) * 0.1);
+        }
+        o.ran_s += ran_s;
+        o.guessed_s += job.spec.guess_s;
+        o.count += 1;
+        self.writer.hints_news = true;
+    }
+
+    /// How long a task of the job should run: the owner's guess, corrected by what was seen of its
+    /// class once there is enough of it.
+    pub(crate) fn estimate_s(&self, spec: &JobSpec) -> f64 {
+        let factor = self
+            .observed
+            .get(&spec.class)
+            .filter(|o| o.count >= 5 && o.guessed_s > 0.0)
+            .map_or(1.0, |o| (o.ran_s / o.guessed_s).clamp(0.25, 4.0));
+        spec.guess_s * factor
+    }
+
+    /// How long a task of the job should run: tasks of a job are alike, so what was seen of those that
+    /// are done soon counts more than the guess.
+    pub(crate) fn estimate_of(&self, job: &Job) -> f64 {
+        (self.estimate_s(&job.spec) + job.ran_s) / f64::from(1 + job.ran)
+    }
+
+    /// How long a task that has run for so long should still run.
+    pub(crate) fn rest_s(&self, job: &Job, ran_s: f64) -> f64 {
+        let run = self.estimate_of(job);
+        let past = if job.ran >= ALIKE {
+            // Its like took about as long, so it can't be far from its end.
+            (run * SPREAD - ran_s) / 2.0
+        } else {
+            // Guards against a forecast in which whatever is past its guess is about to end: run times
+            // have long tails, and during a burst nothing was rented for thousands of tasks.
+            ran_s * TAIL
+        };
+        (run - ran_s).max(past).max(2.0)
+    }
+
+    /// How long the longest task of the job should run.
+    pub(super) fn longest_of(&self, job: &Job) -> f64 {
+        let longer = self
+            .observed
+            .get(&job.spec.class)
+            .and_then(|o| o.longer)
+            .unwrap_or(0.0);
+        let part = if job.spec.pieces < ALIKE { 0.0 } else { longer };
+        self.estimate_of(job) * (1.0 + part)
+    }
+
+    /// What is left to be placed of a job, in machine-seconds.
+    ///
+    /// Of jobs that can still meet the same aim the least work goes first. When there is enough room
+    /// the order matters little; when there is too much to do, going by the least slack made every
+    /// job just late: on the grown site's rough day half of all deadlines were missed for hours of
+    /// machine time that went to a fifth of the jobs.
+    pub(super) fn work_of(&self, job: &Job) -> f64 {
+        let tasks = job.pending.len() as f64;
+        self.part_of_machine(&job.spec) * tasks * self.estimate_of(job)
+    }
+
+    /// The largest part that a task takes of the machine type which it takes least of.
+    pub(super) fn part_of_machine(&self, spec: &JobSpec) -> f64 {
+        let part = |need: f64, have: f64| if have > 0.0 { need / have } else { 0.0 };
+        self.rigs
+            .values()
+            .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name)))
+            .map(|r| part(spec.gpus, r.gpus).max(part(spec.cpus, r.cpus)))
+            .filter(|p| *p <= 1.0)
+            .fold(f64::INFINITY, f64::min)
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod ageing;
 pub mod demand;
+pub mod estimates;
 pub mod fleet;
 pub mod forecast;
 pub mod graph;
@@ -239,7 +240,7 @@
     pub(crate) direct_due: BTreeSet<HostId>,
     pub(crate) directs: usize,
     /// Observed against guessed run times, per class: an estimate for slack and for renting.
-    pub(crate) observed: BTreeMap<String, placement::Observed>,
+    pub(crate) observed: BTreeMap<String, estimates::Observed>,
     /// Arrivals of classes that want to start soon, the machines that stand by for them, and how
     /// many are missing.
     pub(crate) demand: BTreeMap<String, demand::Demand>,
