--- /dev/null
+++ b/tests/encodings.rs
@@ -0,0 +1,159 @@
+//! Stored records and messages between controllers, by example bytes. A landing may take over from the one
+//! before it while both run: a rename in the code, or a new field, must not change what the other reads.
+
+use chalklug::bookkeeping::records::*;
+use chalklug::ids::*;
+use chalklug::protocol::peers::{PeerReply, PeerRequest};
+use chalklug::protocol::users::{parse_submission, JobPhase};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+/// Writes the record, compares it with the example, and reads the example back.
+fn stored<T: Serialize + DeserializeOwned>(record: &T, example: &str) {
+    assert_eq!(serde_json::to_string(record).unwrap(), example);
+    let back: T = serde_json::from_str(example).expect("the example can be read");
+    assert_eq!(serde_json::to_string(&back).unwrap(), example);
+}
+
+/// The same for a message between controllers.
+fn sent<T: Serialize + DeserializeOwned>(message: &T, example: &[u8]) {
+    assert_eq!(postcard::to_stdvec(message).unwrap(), example);
+    let back: T = postcard::from_bytes(example).expect("the example can be read");
+    assert_eq!(postcard::to_stdvec(&back).unwrap(), example);
+}
+
+#[test]
+fn keys() {
+    let job = JobId::from("wk-000412");
+    assert_eq!(open_key(&job), "o/wk-000412");
+    assert_eq!(final_key(&job), "f/wk-000412");
+    assert_eq!(progress_key(&job, 3), "p/wk-000412/3");
+    assert_eq!(intents_key(PageNo(7)), "i/7");
+    assert_eq!(hosts_key(PageNo(7)), "h/7");
+    assert_eq!(
+        (LEAD, TOKEN, CATALOG, HINTS),
+        ("lead", "baton", "catalog", "hints")
+    );
+    assert_eq!(parse_progress_key("p/wk-000412/3"), Some((job, 3)));
+    assert_eq!(parse_page("i/7", INTENTS), Some(PageNo(7)));
+}
+
+#[test]
+fn leader_and_jobs() {
+    let lead = LeadRecord {
+        host_name: "chalkbox-2".into(),
+        token: Token(41),
+    };
+    stored(&lead, r#"{"host_name":"chalkbox-2","baton":41}"#);
+    let text = concat!(
+        r#"{"ref":"wk-000412","jobclass":"train","crew":"vision","shape":"standing","urgency":"production","#,
+        r#""pieces":2,"cpus":8.0,"gpus":1.0,"ramGb":64.0,"bundle":"img-07","pullGb":6.2,"rigs":["g8"],"site":"a","#,
+        r#""together":true,"scatter":false,"loaners":true,"guessS":240.0,"markEveryS":30.0,"markCostS":4.0,"dueS":900.0}"#
+    );
+    let open = OpenRecord {
+        spec: parse_submission(text.as_bytes()).unwrap(),
+        at_ms: 1_700_000_000_123,
+        after: vec![JobId::from("wk-000001")],
+    };
+    let example = format!(r#"{{"spec":{text},"at_ms":1700000000123,"after":["wk-000001"]}}"#);
+    stored(&open, &example);
+    let alone = format!(r#"{{"spec":{text},"at_ms":5}}"#);
+    stored(
+        &OpenRecord {
+            at_ms: 5,
+            after: Vec::new(),
+            ..open
+        },
+        &alone,
+    );
+    let done = FinalRecord {
+        phase: JobPhase::Done,
+        pieces: 16,
+    };
+    stored(&done, r#"{"phase":"done","pieces":16}"#);
+    let cancelled = FinalRecord {
+        phase: JobPhase::Cancelled,
+        pieces: 16,
+    };
+    stored(&cancelled, r#"{"phase":"aborted","pieces":16}"#);
+}
+
+#[test]
+fn progress() {
+    let mut set = DoneSet::new(20);
+    for task in [0, 3, 17] {
+        set.add(task);
+    }
+    assert_eq!(set.chunk(0), "CQAC");
+    let mut back = DoneSet::new(20);
+    back.load(0, "CQAC");
+    assert_eq!((back.count(), back.has(17)), (3, true));
+}
+
+#[test]
+fn launch_intents() {
+    let mut page = IntentsPage::default();
+    let host = HostId::from("host-000231");
+    for index in [0, 4] {
+        let piece = PieceId {
+            job: JobId::from("wk-000412"),
+            index,
+        };
+        page.add(&host, &piece, Try(9));
+    }
+    let takes = JobTakes("vision".into(), 8.0, 1.0, 64.0);
+    page.jobs.insert(JobId::from("wk-000412"), takes);
+    stored(
+        &page,
+        r#"{"starts":{"9":{"wk-000412":{"host-000231":[0,4]}}},"jobs":{"wk-000412":["vision",8.0,1.0,64.0]}}"#,
+    );
+}
+
+#[test]
+fn machines() {
+    let mut page = HostsPage {
+        kinds: vec![(Rig::from("g8"), Site::from("a"), true)],
+        images: vec![(Image::from("img-07"), 6.2)],
+        ..HostsPage::default()
+    };
+    let note = HostNote(0, 1_700_000_000, true, vec![0]);
+    page.hosts.insert(HostId::from("host-000231"), note);
+    stored(
+        &page,
+        concat!(
+            r#"{"kinds":[["g8","a",true]],"images":[["img-07",6.2]],"#,
+            r#""hosts":{"host-000231":[0,1700000000,true,[0]]}}"#
+        ),
+    );
+}
+
+#[test]
+fn messages_between_controllers() {
+    sent(&PeerRequest::Hello, &[0]);
+    let forward = PeerRequest::Forward {
+        method: "GET".into(),
+        path: "/x".into(),
+        body: vec![7, 8],
+    };
+    sent(&forward, &[1, 3, b'G', b'E', b'T', 2, b'/', b'x', 2, 7, 8]);
+    let job = JobId::from("wk-1");
+    let counts = PeerRequest::Counts {
+        jobs: vec![(job.clone(), 3, 300)],
+    };
+    sent(&counts, &[2, 1, 4, b'w', b'k', b'-', b'1', 3, 0xac, 2]);
+    let cancelled = PeerRequest::Cancelled {
+        jobs: vec![(job, 16)],
+    };
+    sent(&cancelled, &[3, 1, 4, b'w', b'k', b'-', b'1', 16]);
+    let hello = PeerReply::Hello {
+        state_ok: true,
+        workers_heard_ms: Some(64),
+    };
+    sent(&hello, &[0, 1, 1, 0x80, 1]);
+    let answer = PeerReply::Answer {
+        status: 503,
+        body: vec![9],
+    };
+    sent(&answer, &[1, 0xf7, 3, 1, 9]);
+    sent(&PeerReply::Noted, &[2]);
+}
