--- a/src/bookkeeping/pages.rs
+++ b/src/bookkeeping/pages.rs
@@ -66,7 +66,8 @@
         // A task's number and a comma; numbers have at most six digits.
         self.bytes += 7;
         if self.tries.insert(key.attempt) {
-            self.bytes += 26;
+            // Once for its starts, and once for when it was placed.
+            self.bytes += 26 + 36;
         }
         if self.tried.insert((key.attempt, job.clone())) {
             self.bytes += job.as_str().len() + 6;
--- a/src/bookkeeping/records.rs
+++ b/src/bookkeeping/records.rs
@@ -126,6 +126,10 @@
     pub starts: BTreeMap<Try, BTreeMap<JobId, BTreeMap<HostId, Vec<u32>>>>,
     /// What the jobs named above take.
     pub jobs: BTreeMap<JobId, JobTakes>,
+    /// The time of day at which each try was placed, in seconds since 1970. A hint: it tells a new
+    /// leader how long the tasks have been running.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub placed_s: BTreeMap<Try, u64>,
 }
 
 impl IntentsPage {
--- a/src/coordination/estimates.rs
+++ b/src/coordination/estimates.rs
@@ -25,12 +25,11 @@
 
 impl Core {
     pub(crate) fn note_run_time(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try)) {
-        let Some(since) = self
-            .machines
-            .get(host)
-            .and_then(|m| m.starts.get(key))
-            .and_then(|s| s.running_since)
-        else {
+        let start = self.machines.get(host).and_then(|m| m.starts.get(key));
+        // Guards against estimates that shrink with each takeover: when a start of a former leader began
+        // to run is not known, and it seemed to have run only since we saw it.
+        let known = start.filter(|s| !s.inherited);
+        let Some(since) = known.and_then(|s| s.running_since) else {
             return;
         };
         let Some(job) = self.jobs.get_mut(&key.0.job) else {
--- a/src/coordination/images.rs
+++ b/src/coordination/images.rs
@@ -4,7 +4,7 @@
 use super::placement::{Need, Pass};
 use super::Core;
 use crate::bookkeeping::ledger::{Machine, Standing};
-use crate::ids::{Image, JobId, Millis, Rig};
+use crate::ids::{HostId, Image, JobId, Millis, Rig};
 use crate::protocol::users::{JobSpec, Shape};
 use std::collections::BTreeMap;
 
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Seconds that the machine takes to fetch the image of a job that is known.
+    pub(super) fn longest_fetch_s(&self, host: &HostId, job: &JobId) -> f64 {
+        match (self.machines.get(host), self.jobs.get(job)) {
+            (Some(machine), Some(job)) => self.fetch_s(&machine.rig, job.spec.image_gb),
+            _ => 0.0,
+        }
+    }
+
     /// Seconds that a machine of the type takes to fetch so much.
     pub(crate) fn fetch_s(&self, rig: &Rig, gb: f64) -> f64 {
         let rate = self.rigs.get(rig).map_or(0.0, |r| r.fetch_gb_per_s);
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -146,6 +146,12 @@
         self.writer.progress.insert((id, chunk), item.stamp);
     }
 
+    /// A time of day on record, in seconds since 1970, on this process's steady clock. Only hints rest on
+    /// it: the time of day may be off.
+    fn on_steady_clock(&self, time_of_day_s: u64) -> Millis {
+        Millis((time_of_day_s as i64).saturating_mul(1000)) - Millis(self.day_ms as i64)
+    }
+
     fn load_hosts(&mut self, now: Millis, item: &Item) -> Result<(), Unreadable> {
         let Some(page) = parse_page(&item.key, HOSTS) else {
             return Ok(());
@@ -162,7 +168,7 @@
             };
             let mut since = now;
             if note.1 > 0 {
-                since = Millis(note.1 as i64 * 1000 - self.day_ms as i64).min(now);
+                since = self.on_steady_clock(note.1).min(now);
             }
             let mut m = Machine::new(
                 id.clone(),
@@ -210,7 +216,9 @@
             if known.is_some_and(|m| m.starts.contains_key(&key)) {
                 continue;
             }
-            let mut s = self.new_start(&host, piece.clone(), attempt, now);
+            let placed = record.placed_s.get(&attempt);
+            let since = placed.map_or(now, |s| self.on_steady_clock(*s).min(now));
+            let mut s = self.new_start(&host, piece.clone(), attempt, since);
             if let Some(takes) = record.jobs.get(&piece.job) {
                 s.need = takes.amount();
                 s.team = self.policy.team_no(&takes.0);
--- a/src/coordination/starts.rs
+++ b/src/coordination/starts.rs
@@ -86,6 +86,7 @@
         key: &(PieceId, Try),
         seen: Seen,
     ) {
+        let fetch_s = self.longest_fetch_s(host, &key.0.job);
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
@@ -93,10 +94,13 @@
             return;
         };
         let (was_on, ran) = (!s.ended(), s.runs());
+        // What a former leader launched may have run for long: since its image was there, at the latest.
+        let fetched = s.since + Millis::from_secs(fetch_s);
+        let running_since = if s.inherited { fetched.min(now) } else { now };
         s.seen = Some(seen);
         if seen.phase == crate::protocol::workers::PiecePhase::Running && s.running_since.is_none()
         {
-            s.running_since = Some(now);
+            s.running_since = Some(running_since);
         }
         let (on, runs) = (!s.ended(), s.runs());
         let (need, team) = (s.need, s.team);
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -482,6 +482,10 @@
         let mut page = IntentsPage::default();
         for k in keys {
             page.add(&k.host, &k.piece, k.attempt);
+            if let Some(since) = self.placed_at(k) {
+                let placed_s = self.day_ms.saturating_add_signed(since.0) / 1000;
+                page.placed_s.entry(k.attempt).or_insert(placed_s);
+            }
             if !page.jobs.contains_key(&k.piece.job) {
                 page.jobs.insert(k.piece.job.clone(), self.takes(k));
             }
@@ -489,6 +493,13 @@
         serde_json::to_value(&page).unwrap_or_default()
     }
 
+    /// When a start that is on a page was placed.
+    fn placed_at(&self, key: &StartKey) -> Option<Millis> {
+        let machine = self.machines.get(&key.host)?;
+        let start = machine.starts.get(&(key.piece.clone(), key.attempt))?;
+        Some(start.since)
+    }
+
     /// What a start's job takes: from the job, or, if that is over and forgotten, from the start.
     fn takes(&self, k: &StartKey) -> JobTakes {
         if let Some(j) = self.jobs.get(&k.piece.job) {
