--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -93,6 +93,8 @@
 const LOG_EVERY: Millis = Millis(10_000);
 /// What to return is looked for this often.
 const SWEEP_EVERY: Millis = Millis(500);
+/// A new leader rents nothing while more than this part of the machines has yet to report to it.
+const STILL_SILENT: f64 = 0.1;
 /// Machines rented in one look: what can be asked for in so many seconds at the cloud's rate.
 const LOOK_S: f64 = 2.0;
 
@@ -236,7 +238,7 @@
     /// Rents what makes waiting tasks start sooner, as the forecast says.
     fn rent(&mut self, now: Millis, unmet: &[Unmet]) {
         let pause = LOOK_EVERY + Millis(LOOK_A_MACHINE * self.machines.len() as i64);
-        if now - self.fleet.looked < pause {
+        if now - self.fleet.looked < pause || self.awaits_reports(now) {
             return;
         }
         self.fleet.looked = now;
@@ -259,6 +261,25 @@
         }
     }
 
+    /// Whether a new leader still waits for the first reports of most of its machines.
+    ///
+    /// Guards against rentals for which there is no use a moment later: each change of leaders rented up to
+    /// 180 machines on the recorded day a974. Until a machine has reported it can't be given work, and what
+    /// ended on it while nobody led still seems to be there.
+    fn awaits_reports(&self, now: Millis) -> bool {
+        if now - self.began > self.policy.first_reports() {
+            return false;
+        }
+        let up = self
+            .machines
+            .values()
+            .filter(|m| m.standing == Standing::Up);
+        let (silent, all) = up.fold((0, 0), |(silent, all), m| {
+            (silent + usize::from(m.reported.is_none()), all + 1)
+        });
+        silent as f64 > all as f64 * STILL_SILENT
+    }
+
     fn hire(&mut self, now: Millis, kind: Kind, count: u32) {
         // Unique for ever: tokens are, and so is the count within one.
         self.fleet.hired += 1;
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -213,15 +213,6 @@
         (self.fetch_s(&m.rig, spec.image_gb) - (now - s.since).secs()).max(0.0)
     }
 
-    /// Whether a machine that a former leader used is still to report to us, and should soon.
-    ///
-    /// Guards against rentals in its place: each change of leaders rented up to 180 machines on the
-    /// recorded day a974, for which there was no use once the others had reported.
-    fn is_expected(&self, m: &Machine, now: Millis) -> bool {
-        let in_time = now - self.began <= self.policy.silence();
-        in_time && m.reported.is_none() && m.vouched && !m.drain && m.recall_at.is_none()
-    }
-
     /// The machines there are and that are coming, with the room they will have and when.
     fn forecast(&self, now: Millis) -> Vec<Bin> {
         let mut bins: Vec<Bin> = Vec::new();
@@ -246,10 +237,8 @@
                         bins.push(bin(rest, self.capacity(&m.rig)));
                     }
                 }
-                Standing::Up if self.usable(m, now) || self.is_expected(m, now) => {
-                    let report_s = self.policy.facts.workers.report_s;
-                    let wait_s = if m.reported.is_some() { 0.0 } else { report_s };
-                    let mut b = bin(wait_s, m.free);
+                Standing::Up if self.usable(m, now) => {
+                    let mut b = bin(0.0, m.free);
                     b.idle = (m.live == 0).then(|| m.id.clone());
                     b.empty = emptiness(&m.free, &self.capacity(&m.rig));
                     b.class = self.reserved.get(&m.id).cloned();
@@ -260,7 +249,6 @@
                         };
                         let rest = match s.running_since {
                             Some(t) => self.rest_s(job, (now - t).secs()),
-                            None if s.inherited => self.rest_s(job, (now - s.since).secs()),
                             None => self.estimate_of(job) + self.rest_of_fetch(now, m, s),
                         };
                         b.freed.push((rest * DOUBT, s.need));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -105,6 +105,11 @@
     pub fn lease_over(&self) -> Millis {
         Millis::from_secs(self.facts.workers.lease_s * 1.002 + 0.5)
     }
+    /// The time in which every worker that can reach a new leader has reported to it: one whose report was
+    /// under way to the former one gives that up after 4 s and tries the next controller a second later.
+    pub fn first_reports(&self) -> Millis {
+        Millis::from_secs(self.facts.workers.report_s * 1.25 + 5.0)
+    }
     /// How long a worker may keep silent before it counts as silent.
     pub fn silence(&self) -> Millis {
         // Reports go out every `report_s`, give or take a quarter; a second for the way.
