--- a/src/coordination/images.rs
+++ b/src/coordination/images.rs
@@ -54,7 +54,7 @@
     }
 
     /// Seconds that the image takes to fetch on the type of machine that is quickest at it.
-    fn shortest_fetch_s(&self, spec: &JobSpec) -> f64 {
+    pub(super) fn shortest_fetch_s(&self, spec: &JobSpec) -> f64 {
         self.rigs
             .keys()
             .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(r)))
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -45,12 +45,16 @@
     /// Machines kept for large tasks.
     kept: BTreeSet<HostId>,
     /// Jobs for which a machine was emptied.
-    favoured: BTreeSet<JobId>,
+    pub(super) favoured: BTreeSet<JobId>,
     /// Needs for which there was no room: nothing as large or larger has to look again.
     pub(super) full: Vec<Need>,
     placed: usize,
     /// Only machines that have the image will do for now.
     cached: bool,
+    /// The least urgent of all open jobs.
+    least_urgent: Option<Urgency>,
+    /// Jobs for which it was looked whether machines with their image can be emptied.
+    pub(super) looked_for_image: usize,
 }
 
 /// What a task asks of a machine, as far as the machine's kind and room go.
@@ -263,6 +267,8 @@
             full: Vec::new(),
             placed: 0,
             cached: false,
+            least_urgent: self.least_urgent(),
+            looked_for_image: 0,
         };
         // By place in the queue: what is left of each job.
         let mut unmet: BTreeMap<usize, Unmet> = BTreeMap::new();
@@ -306,12 +312,34 @@
             self.dirty = true;
             return;
         }
+        if self.may_take_machines(&id, pass) && self.takes_machines_with_image(now, &id, pass) {
+            return;
+        }
         let count = self.place_job(now, &id, pass);
         if count > 0 {
             unmet.insert(at, Unmet { job: id, count });
         }
     }
 
+    fn least_urgent(&self) -> Option<Urgency> {
+        let open = self.jobs.values().filter(|j| !j.over);
+        open.map(|j| j.spec.urgency).min()
+    }
+
+    /// Whether a gang is more urgent than other work, may start as far as its team's limit goes, and is
+    /// nowhere yet.
+    fn may_take_machines(&self, id: &JobId, pass: &Pass) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let above_others = pass
+            .least_urgent
+            .is_some_and(|least| least < job.spec.urgency);
+        let candidate = above_others && job.spec.shape == Shape::Gang && job.places.is_empty();
+        let head = || self.headroom(&job.spec, job.team, &pass.used) as usize;
+        candidate && head() >= job.pending.len()
+    }
+
     /// How many more tasks the team's limit lets start.
     pub(crate) fn headroom(&self, spec: &JobSpec, team: Option<TeamNo>, used: &[Amount]) -> u32 {
         let (Some(no), Some(team)) = (team, self.policy.team(team)) else {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -1,7 +1,7 @@
 //! Stopping tasks to make room, as far as the protocol allows it: for a job of higher priority, or
 //! to give a team its guarantee at the cost of work that another team runs beyond its own.
 
-use super::placement::Unmet;
+use super::placement::{Pass, Unmet};
 use super::Core;
 use crate::bookkeeping::ledger::{Amount, Job, Machine, Start, StopWish};
 use crate::ids::{HostId, JobId, Millis, PieceId, Try};
@@ -16,6 +16,8 @@
 const MOST_JOBS: usize = 24;
 /// A machine emptied for a job is kept for it this long.
 const KEPT: Millis = Millis(20_000);
+/// A fetch that takes fewer seconds than this is no reason to stop other work.
+const WORTH_EMPTYING_S: f64 = 8.0;
 /// Seconds that stopping a task costs beyond saving, if it has only just started: its start was in
 /// vain then.
 const YOUNG_S: f64 = 20.0;
@@ -106,6 +108,89 @@
         Some(ways)
     }
 
+    /// Whether a job leaves the room there is, because machines that have its image can be had sooner than
+    /// the image can be fetched, at the cost of less urgent work.
+    ///
+    /// Guards against large jobs that fetch their image again and again while it is at hand: on the recorded
+    /// day 0a7c a team without a guarantee filled every machine that had come free, and the part of starts
+    /// that found their image there fell from a half to a tenth.
+    pub(super) fn takes_machines_with_image(
+        &mut self,
+        now: Millis,
+        id: &JobId,
+        pass: &mut Pass,
+    ) -> bool {
+        if pass.favoured.contains(id) && self.is_being_made_room_for(now, id) {
+            return true;
+        }
+        if pass.looked_for_image >= MOST_JOBS {
+            return false;
+        }
+        pass.looked_for_image += 1;
+        let Some(ways) = self.ways_to_image(now, id) else {
+            return false;
+        };
+        for way in ways {
+            self.go(now, id, way);
+        }
+        true
+    }
+
+    /// Whether machines with the job's image are being emptied for it.
+    fn is_being_made_room_for(&self, now: Millis, id: &JobId) -> bool {
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let mut kept = self.machines.values().filter(|m| {
+            let kept_for = m.kept_for.as_ref();
+            kept_for.is_some_and(|(j, until)| j == id && now < *until)
+        });
+        kept.any(|m| {
+            m.has_image(&job.spec.image)
+                && self.usable(m, now)
+                && m.going().any(|s| s.stop.is_some())
+        })
+    }
+
+    /// The machines with the job's image to be emptied for it, if that gains time: all that it needs, or none.
+    fn ways_to_image(&self, now: Millis, id: &JobId) -> Option<Vec<Way>> {
+        let job = self.jobs.get(id)?;
+        let spec = &job.spec;
+        let fetch_s = self.shortest_fetch_s(spec);
+        // A job that has failed may be mistaken: nothing is stopped for it.
+        if !self.bulk(spec) || fetch_s < WORTH_EMPTYING_S || !job.failed_on.is_empty() {
+            return None;
+        }
+        let need = Amount::of(spec);
+        let with_image = |m: &&Machine| m.has_image(&spec.image) && self.usable(m, now);
+        let here = || self.machines.values().filter(with_image);
+        let ready = |m: &&Machine| need.fits(&m.free) && Self::allows(spec, m);
+        if here().any(|m| ready(&m)) {
+            return None;
+        }
+        let wanted = job.pending.len();
+        // Only less urgent work goes: nothing is inside a guarantee for this.
+        let nobody = BTreeSet::new();
+        let mut ways: Vec<Way> = here()
+            .filter_map(|m| self.way(now, m, id, &nobody))
+            .filter(|way| {
+                way.victims
+                    .iter()
+                    .all(|(_, _, grace_s)| *grace_s < fetch_s / 2.0)
+            })
+            .collect();
+        if ways.len() < wanted {
+            return None;
+        }
+        ways.sort_by(|a, b| {
+            a.cost_s
+                .total_cmp(&b.cost_s)
+                .then_with(|| a.host.cmp(&b.host))
+        });
+        ways.truncate(wanted);
+        Some(ways)
+    }
+
     /// Whether anything may be stopped for the job at all.
     fn may_preempt(&self, id: &JobId, inside: &BTreeSet<JobId>) -> bool {
         let lowest = self.jobs.values().filter(|j| !j.over);
