--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -204,6 +204,7 @@
             unwritten = self.writer.intents.sizes().1,
             "state"
         );
+        self.log_waiting(now);
     }
 
     fn repeat_hires(&mut self, now: Millis) {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -17,6 +17,7 @@
 pub mod standby;
 pub mod starts;
 pub mod stops;
+pub mod waiting;
 pub mod worker_sessions;
 pub mod writer;
 
@@ -31,6 +32,7 @@
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Facts, Objective, Operator, Settings, Team};
+use crate::transport::budget::Budget;
 use crate::transport::sockets::Sockets;
 use ageing::Ageing;
 use fleet::Fleet;
@@ -234,6 +236,8 @@
     /// Something changed that placement should look at.
     pub(crate) dirty: bool,
     pub(crate) last_recheck: Millis,
+    /// Tasks that may be placed: the processor must keep up with what comes of them.
+    pub(crate) placement_budget: Budget,
     /// When placement last looked, and how far the spread-out review of machines has come.
     pub(crate) last_pass: Millis,
     pub(crate) last_preempt: Millis,
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -11,6 +11,7 @@
 use crate::bookkeeping::pages::StartKey;
 use crate::ids::{HostId, JobId, Millis, PieceId, Rig, Site, TeamNo, Try};
 use crate::protocol::users::{JobSpec, Shape, Urgency};
+use crate::transport::budget::Budget;
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -33,6 +34,15 @@
 /// Machines a job has failed on are avoided up to this many; past it, it is the job that is bad.
 const AVOID: usize = 3;
 
+/// Tasks placed each second for each core of this process's quota, and seconds' worth of them at once.
+///
+/// Guards against a leader that one huge job deposes: on the recorded day de36 some 24,000 tasks of a few
+/// seconds were placed within 6 s; what came of them took all of a twelfth of a core, and the leader's lease
+/// was over before the answers to its renewals had been read.
+const PLACED_PER_CORE_S: f64 = 7_500.0;
+const PLACED_BURST_S: f64 = 5.0;
+/// A pass for fewer tasks than this is not worth the look at the whole queue.
+const LEAST_PLACED: usize = 20;
 /// Tasks placed in one pass: what is left is placed in the next one, so that reports and the
 /// lease's renewal never wait for a whole wave.
 const MOST_PLACED: usize = 400;
@@ -49,6 +59,7 @@
     /// Needs for which there was no room: nothing as large or larger has to look again.
     pub(super) full: Vec<Need>,
     placed: usize,
+    most_placed: usize,
     /// Only machines that have the image will do for now.
     cached: bool,
     /// The least urgent of all open jobs.
@@ -249,11 +260,17 @@
         if self.rigs.is_empty() {
             return Vec::new();
         }
+        let most_placed = MOST_PLACED.min(self.placement_budget.available(now) as usize);
+        if most_placed < LEAST_PLACED {
+            self.dirty = true;
+            return Vec::new();
+        }
         let queue = self.queue(now);
         if queue.is_empty() {
             return Vec::new();
         }
         let mut pass = Pass {
+            most_placed,
             attempt: self.fresh_try(),
             used: self.used.clone(),
             kept: BTreeSet::new(),
@@ -279,7 +296,7 @@
             // much to do, a tenth of all machine time went into fetching otherwise.
             pass.cached = true;
             for id in &round {
-                if pass.placed < MOST_PLACED {
+                if pass.placed < pass.most_placed {
                     self.place_job(now, id, &mut pass);
                 }
             }
@@ -297,9 +314,21 @@
         for (at, id) in later {
             self.place_rest(now, at, id, &mut pass, &mut unmet);
         }
+        // What is left of a job of many tasks has its turn in the next pass.
+        self.dirty |= pass.placed >= pass.most_placed;
+        // A gang is placed as a whole, even if that is a little more than the rate allows.
+        let spent = self.placement_budget.available(now).min(pass.placed as f64);
+        self.placement_budget.take(now, spent);
         unmet.into_values().collect()
     }
 
+    /// The rate at which a process with so many cores can place tasks and keep up with what comes of them.
+    pub(super) fn placement_budget(cores: f64) -> Budget {
+        let per_s = cores * PLACED_PER_CORE_S;
+        let burst = (per_s * PLACED_BURST_S).max(MOST_PLACED as f64);
+        Budget::new(per_s, burst)
+    }
+
     fn place_rest(
         &mut self,
         now: Millis,
@@ -308,7 +337,7 @@
         pass: &mut Pass,
         unmet: &mut BTreeMap<usize, Unmet>,
     ) {
-        if pass.placed >= MOST_PLACED {
+        if pass.placed >= pass.most_placed {
             self.dirty = true;
             return;
         }
@@ -421,7 +450,7 @@
         let most = if gang {
             could
         } else {
-            could.min((MOST_PLACED - pass.placed) as u32)
+            could.min((pass.most_placed - pass.placed) as u32)
         };
         let pending: Vec<u32> = job.pending.iter().take(most as usize).copied().collect();
         let zones = self.zone_choices(now, &spec, job, pass);
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -82,6 +82,7 @@
             next_try: 0,
             dirty: true,
             last_recheck: now,
+            placement_budget: Core::placement_budget(policy.facts.quota.cores),
             last_pass: Millis(i64::MIN / 4),
             last_preempt: Millis(i64::MIN / 4),
             reviewed: 0,
--- /dev/null
+++ b/src/coordination/waiting.rs
@@ -0,0 +1,89 @@
+//! Why jobs wait, for the log: an operator who sees work standing must not have to guess.
+
+use super::Core;
+use crate::bookkeeping::ledger::Job;
+use crate::ids::{JobId, Millis};
+use crate::protocol::users::Shape;
+use std::collections::BTreeMap;
+
+/// What a job with tasks that are nowhere waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WaitReason {
+    /// A job that it depends on has not finished.
+    Producers,
+    /// It has failed on several machines and tries again later, or one task at a time.
+    Failures,
+    /// Its team is at its limit.
+    TeamLimit,
+    /// Tasks of its last attempt have not ended everywhere yet.
+    LastAttempt,
+    /// Room on a machine that fits.
+    Room,
+}
+
+/// The jobs that wait for one reason.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaitingJobs {
+    /// How many jobs, and how many of their tasks.
+    pub jobs: usize,
+    pub tasks: usize,
+    /// The one that was submitted first, and when.
+    pub oldest: JobId,
+    pub submitted: Millis,
+}
+
+impl Core {
+    /// The jobs that wait, by what they wait for.
+    pub fn waiting_jobs(&self, now: Millis) -> BTreeMap<WaitReason, WaitingJobs> {
+        let mut by_reason: BTreeMap<WaitReason, WaitingJobs> = BTreeMap::new();
+        let waiting = self.indexes.waiting.iter();
+        for (id, job) in waiting.filter_map(|id| Some((id, self.jobs.get(id)?))) {
+            let reason = self.wait_reason(now, id, job);
+            let entry = by_reason.entry(reason).or_insert_with(|| WaitingJobs {
+                jobs: 0,
+                tasks: 0,
+                oldest: id.clone(),
+                submitted: job.submitted,
+            });
+            entry.jobs += 1;
+            entry.tasks += job.pending.len();
+            if job.submitted < entry.submitted {
+                entry.oldest = id.clone();
+                entry.submitted = job.submitted;
+            }
+        }
+        by_reason
+    }
+
+    fn wait_reason(&self, now: Millis, id: &JobId, job: &Job) -> WaitReason {
+        if !self.graph.released(id) {
+            return WaitReason::Producers;
+        }
+        if now < job.not_before || job.mistaken() {
+            return WaitReason::Failures;
+        }
+        let gang = job.spec.shape == Shape::Gang;
+        if gang && !job.places.is_empty() {
+            return WaitReason::LastAttempt;
+        }
+        let needed = if gang { job.pending.len() as u32 } else { 1 };
+        if self.headroom(&job.spec, job.team, &self.used) < needed {
+            return WaitReason::TeamLimit;
+        }
+        WaitReason::Room
+    }
+
+    /// A line for each reason for which jobs wait.
+    pub(super) fn log_waiting(&self, now: Millis) {
+        for (reason, waiting) in self.waiting_jobs(now) {
+            tracing::info!(
+                ?reason,
+                jobs = waiting.jobs,
+                tasks = waiting.tasks,
+                oldest = %waiting.oldest,
+                age_s = (now - waiting.submitted).secs(),
+                "waiting"
+            );
+        }
+    }
+}
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -28,6 +28,11 @@
         (self.left + passed * self.per_s).min(self.burst) / self.burst
     }
 
+    /// How much could be taken now.
+    pub fn available(&self, now: Millis) -> f64 {
+        self.left(now) * self.burst
+    }
+
     /// Takes `n`, or nothing.
     pub fn take(&mut self, now: Millis, n: f64) -> bool {
         let passed = (now - self.at).secs().max(0.0);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -4,6 +4,7 @@
 use chalklug::bookkeeping::records::*;
 use chalklug::coordination::leadership::Lead;
 use chalklug::coordination::recovery::Inheritance;
+use chalklug::coordination::waiting::WaitReason;
 use chalklug::coordination::worker_sessions::CheckInAnswer;
 use chalklug::coordination::{Core, Effect, Event, Policy};
 use chalklug::ids::*;
@@ -12,7 +13,7 @@
 use chalklug::protocol::users::parse_submission;
 use chalklug::protocol::workers::{Order, PiecePhase, PieceReport, Report};
 use chalklug::settings::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 const MACHINES: u64 = 2000;
@@ -240,3 +241,109 @@
     };
     assert_eq!(cleared, GPUS as usize, "and its tombstones are cleared");
 }
+
+fn job(id: &str, urgency: &str, tasks: u32) -> Event {
+    let body = serde_json::json!({"ref": id, "jobclass": id, "crew": "blue", "shape": "array",
+        "urgency": urgency, "pieces": tasks, "cpus": 0.25, "gpus": 0, "ramGb": 0.9, "bundle": "i",
+        "pullGb": 1, "together": false, "scatter": false, "loaners": false, "guessS": 4,
+        "markEveryS": 0, "markCostS": 0});
+    let record = OpenRecord {
+        spec: parse_submission(body.to_string().as_bytes()).unwrap(),
+        at_ms: 0,
+        after: Vec::new(),
+    };
+    Event::JobOpened {
+        record: Box::new(record),
+        stamp: Stamp(5),
+        submitted: Millis(0),
+    }
+}
+
+/// Steps the core until the given time; says how many starts of each job were put on record.
+fn starts_recorded(core: &mut Core, now: &mut Millis, until: Millis) -> BTreeMap<JobId, usize> {
+    let mut tasks: BTreeMap<JobId, BTreeSet<u32>> = BTreeMap::new();
+    while *now < until {
+        *now = *now + Millis(50);
+        for e in core.step(*now) {
+            let Effect::Write { seq, txn } = e else {
+                continue;
+            };
+            for change in txn.apply {
+                let Change::Put { put, data, .. } = change else {
+                    continue;
+                };
+                if put.starts_with(INTENTS) {
+                    let page: IntentsPage = serde_json::from_value(data).unwrap();
+                    for (_, piece, _) in page.starts() {
+                        tasks.entry(piece.job).or_default().insert(piece.index);
+                    }
+                }
+            }
+            let epoch = Epoch(1000 + seq);
+            core.on(*now, Event::Written { seq, epoch });
+        }
+    }
+    tasks.into_iter().map(|(job, t)| (job, t.len())).collect()
+}
+
+/// What comes of placed tasks takes far more of the processor than placing them: a huge job of tiny tasks
+/// is started at a pace that the process can keep up with, and what is more urgent doesn't wait for it.
+#[test]
+fn a_huge_job_is_started_at_a_pace() {
+    let mut now = Millis(1000);
+    let mut found = inherited();
+    found.open.clear();
+    found.intents.clear();
+    let mut core = Core::take_over(policy(), lead(9), now, found).unwrap();
+    for n in 0..MACHINES {
+        let mut empty = report(n, 1, 9, 0);
+        empty.pieces.clear();
+        core.check_in(now, &empty);
+    }
+    core.on(now, job("wk-900001", "low", 24_000));
+    let huge = JobId::from("wk-900001");
+    let recorded = starts_recorded(&mut core, &mut now, Millis(5000))[&huge];
+    // A tenth of a core: 3,750 at once, and 750 a second.
+    assert!(
+        (3000..=3750 + 4 * 750).contains(&recorded),
+        "{recorded} starts in 4 s"
+    );
+    core.on(now, job("wk-900002", "urgent", 16));
+    let recorded = starts_recorded(&mut core, &mut now, Millis(6000));
+    assert_eq!(recorded.get(&JobId::from("wk-900002")), Some(&16));
+    core.audit().unwrap();
+}
+
+/// Operators are told why work stands: the log's lines come from here.
+#[test]
+fn each_waiting_job_has_a_reason() {
+    let now = Millis(1000);
+    let mut core = Core::take_over(policy(), lead(9), now, inherited()).unwrap();
+    // Every GPU of the team's limit may be in use, and no machine has reported yet.
+    core.on(now, gpu_job("wk-900001", 4, Vec::new()));
+    let small = JobId::from("wk-900001");
+    core.on(now, gpu_job("wk-900002", 4, vec![small.clone()]));
+    core.on(now, job("wk-900003", "low", 100));
+    core.step(now + Millis(100));
+    let waiting = core.waiting_jobs(now);
+    let oldest = |reason| waiting.get(&reason).map(|w| (w.jobs, w.oldest.clone()));
+    assert_eq!(oldest(WaitReason::TeamLimit), Some((1, small)));
+    let consumer = JobId::from("wk-900002");
+    assert_eq!(oldest(WaitReason::Producers), Some((1, consumer)));
+    let cpu_only = JobId::from("wk-900003");
+    assert_eq!(oldest(WaitReason::Room), Some((1, cpu_only)));
+    assert_eq!(waiting.len(), 3);
+}
+
+fn gpu_job(id: &str, tasks: u32, after: Vec<JobId>) -> Event {
+    let Event::JobOpened { mut record, .. } = job(id, "normal", tasks) else {
+        unreachable!("a job that is opened");
+    };
+    record.spec.gpus = 1.0;
+    record.after = after;
+    Event::JobOpened {
+        record,
+        stamp: Stamp(5),
+        submitted: Millis(0),
+    }
+}
