--- a/src/cli.rs
+++ b/src/cli.rs
@@ -57,7 +57,7 @@
         return ExitCode::SUCCESS;
     }
     start_log();
-    match crate::duties::run(loaded) {
+    match crate::runtime::run(loaded) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("chalklug: {e}");
--- a/src/coordination/ageing.rs
+++ b/src/coordination/ageing.rs
@@ -6,8 +6,8 @@
 //! otherwise it would only make others late that can still meet their aims.
 
 use super::Core;
-use crate::bookkeeping::ledger::Job;
 use crate::ids::{JobId, Millis, TeamNo};
+use crate::storage::ledger::Job;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Jobs of which most must begin in time.
--- a/src/coordination/estimates.rs
+++ b/src/coordination/estimates.rs
@@ -1,9 +1,9 @@
 //! How long tasks run, and how much work a job is: the owners' guesses, corrected by what was seen.
 
 use super::Core;
-use crate::bookkeeping::ledger::Job;
 use crate::ids::{HostId, Millis, PieceId, Try};
 use crate::protocol::users::JobSpec;
+use crate::storage::ledger::Job;
 use serde::{Deserialize, Serialize};
 
 /// Run times seen against those guessed, for one class.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,10 +2,10 @@
 
 use super::placement::Unmet;
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::{Amount, Machine, Standing};
 use crate::ids::{HostId, Millis, Rig, Site};
 use crate::protocol::cloud::{CloudHost, CloudPhase};
 use crate::protocol::users::JobSpec;
+use crate::storage::ledger::{Amount, Machine, Standing};
 use crate::transport::budget::Budget;
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -9,9 +9,9 @@
 use super::fleet::Kind;
 use super::placement::{emptiness, Unmet};
 use super::Core;
-use crate::bookkeeping::ledger::{Amount, Machine, Standing, Start};
 use crate::ids::{HostId, Image, Millis, Site};
 use crate::protocol::users::{JobSpec, Shape};
+use crate::storage::ledger::{Amount, Machine, Standing, Start};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
--- a/src/coordination/images.rs
+++ b/src/coordination/images.rs
@@ -3,9 +3,9 @@
 
 use super::placement::{Need, Pass};
 use super::Core;
-use crate::bookkeeping::ledger::{Machine, Standing};
 use crate::ids::{HostId, Image, JobId, Millis, Rig};
 use crate::protocol::users::{JobSpec, Shape};
+use crate::storage::ledger::{Machine, Standing};
 use std::collections::BTreeMap;
 
 /// A job waits for machines that have its image for this part of the time that a fetch takes.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -1,5 +1,5 @@
 //! The decision core: a deterministic state machine. Events and a `now` go in, effects come out;
-//! there is no I/O, clock, thread or random number inside. The duties around it carry the effects
+//! there is no I/O, clock, thread or random number inside. The runtime around it carries the effects
 //! out, and check the leader's authority again as each one leaves.
 
 pub mod ageing;
@@ -21,8 +21,6 @@
 pub mod worker_sessions;
 pub mod writer;
 
-use crate::bookkeeping::ledger::{Amount, Job, Machine, Standing};
-use crate::bookkeeping::records::OpenRecord;
 use crate::coordination::leadership::Lead;
 use crate::ids::{
     Epoch, HostId, Image, JobId, Millis, Rig, Session, Site, Stamp, TeamNo, Token, Try,
@@ -32,6 +30,8 @@
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Facts, Objective, Operator, Settings, Team};
+use crate::storage::ledger::{Amount, Job, Machine, Standing};
+use crate::storage::records::OpenRecord;
 use crate::transport::budget::Budget;
 use crate::transport::sockets::Sockets;
 use ageing::Ageing;
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -1,9 +1,9 @@
 //! What is sent to workers: launches, stops and clears, in answers to check-ins and as direct commands.
 
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::{DirectCarrier, Machine, Standing, Start};
 use crate::ids::{HostId, Millis, Session};
 use crate::protocol::workers::{Cause, Order, PiecePhase};
+use crate::storage::ledger::{DirectCarrier, Machine, Standing, Start};
 use std::collections::BTreeSet;
 
 /// The part of the wait for a gang by which fetches may differ, as estimated: they take up to half as
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -7,10 +7,10 @@
 use super::graph::Label;
 use super::worker_sessions::MAX_LISTED;
 use super::Core;
-use crate::bookkeeping::ledger::{within, Amount, Job, Machine, Standing};
-use crate::bookkeeping::pages::StartKey;
 use crate::ids::{HostId, JobId, Millis, PieceId, Rig, Site, TeamNo, Try};
 use crate::protocol::users::{JobSpec, Shape, Urgency};
+use crate::storage::ledger::{within, Amount, Job, Machine, Standing};
+use crate::storage::pages::StartKey;
 use crate::transport::budget::Budget;
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -3,8 +3,8 @@
 
 use super::placement::{Pass, Unmet};
 use super::Core;
-use crate::bookkeeping::ledger::{Amount, Job, Machine, Start, StopWish};
 use crate::ids::{HostId, JobId, Millis, PieceId, Try};
+use crate::storage::ledger::{Amount, Job, Machine, Start, StopWish};
 use std::collections::BTreeSet;
 
 /// Machines emptied in one look, and one more for each so many that there are: the effect of the
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -9,14 +9,14 @@
 use super::starts::Indexes;
 use super::writer::Writer;
 use super::{Core, Policy};
-use crate::bookkeeping::ledger::{Amount, Machine, Standing};
-use crate::bookkeeping::pages::StartKey;
-use crate::bookkeeping::records::{
-    parse_page, parse_progress_key, HostsPage, IntentsPage, OpenRecord, HOSTS, INTENTS,
-};
 use crate::ids::{HostId, Millis, Stamp};
 use crate::protocol::cloud::RigInfo;
 use crate::protocol::state::Item;
+use crate::storage::ledger::{Amount, Machine, Standing};
+use crate::storage::pages::StartKey;
+use crate::storage::records::{
+    parse_page, parse_progress_key, HostsPage, IntentsPage, OpenRecord, HOSTS, INTENTS,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -3,9 +3,9 @@
 //! rental would take, and a little for chance.
 
 use super::Core;
-use crate::bookkeeping::ledger::Amount;
 use crate::ids::{HostId, Millis};
 use crate::protocol::users::JobSpec;
+use crate::storage::ledger::Amount;
 use std::collections::BTreeMap;
 
 impl Core {
--- a/src/coordination/starts.rs
+++ b/src/coordination/starts.rs
@@ -3,10 +3,10 @@
 //! tests.
 
 use super::Core;
-use crate::bookkeeping::ledger::{Amount, Machine, Seen, Standing, Start};
-use crate::bookkeeping::pages::StartKey;
 use crate::ids::{HostId, JobId, Millis, PieceId, TeamNo, Try};
 use crate::protocol::users::JobSpec;
+use crate::storage::ledger::{Amount, Machine, Seen, Standing, Start};
+use crate::storage::pages::StartKey;
 use std::collections::BTreeSet;
 
 /// What is looked up again and again, kept in step with the ledgers.
--- a/src/coordination/stops.rs
+++ b/src/coordination/stops.rs
@@ -2,9 +2,9 @@
 //! broken. The orders that say so go out with check-ins and directly (`orders.rs`).
 
 use super::Core;
-use crate::bookkeeping::ledger::{Machine, Start, StopWish};
 use crate::ids::{HostId, Millis};
 use crate::protocol::workers::{Order, PiecePhase};
+use crate::storage::ledger::{Machine, Start, StopWish};
 use std::collections::BTreeSet;
 
 impl Core {
--- a/src/coordination/waiting.rs
+++ b/src/coordination/waiting.rs
@@ -1,9 +1,9 @@
 //! Why jobs wait, for the log: an operator who sees work standing must not have to guess.
 
 use super::Core;
-use crate::bookkeeping::ledger::Job;
 use crate::ids::{JobId, Millis};
 use crate::protocol::users::Shape;
+use crate::storage::ledger::Job;
 use std::collections::BTreeMap;
 
 /// What a job with tasks that are nowhere waits for.
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -4,9 +4,9 @@
 //! where that happens, and each caller names its proof.
 
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::{DirectCarrier, Seen, Standing, Start, UNHEEDED};
 use crate::ids::{HostId, JobId, Millis, PieceId, Session, Try};
 use crate::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
+use crate::storage::ledger::{DirectCarrier, Seen, Standing, Start, UNHEEDED};
 
 /// How a report came.
 #[derive(Clone, Copy, PartialEq, Eq)]
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -7,16 +7,16 @@
 mod outcomes;
 
 use super::{Core, Effect};
-use crate::bookkeeping::ledger::{DirectCarrier, Job, Machine, Standing, Start};
-use crate::bookkeeping::pages::{HostPages, IntentPages, Measure, StartKey};
-use crate::bookkeeping::records::{
-    final_key, hosts_key, intents_key, open_key, progress_key, FinalRecord, HostNote, HostsPage,
-    IntentsPage, JobTakes, LeadRecord, CHUNK, HINTS, LEAD, TOKEN,
-};
 use crate::ids::{HostId, Image, JobId, Millis, PageNo, Rig, Site, Stamp, Token};
 use crate::protocol::state::{Change, Guard, Txn};
 use crate::protocol::users::JobPhase;
 use crate::settings::StateLimits;
+use crate::storage::ledger::{DirectCarrier, Job, Machine, Standing, Start};
+use crate::storage::pages::{HostPages, IntentPages, Measure, StartKey};
+use crate::storage::records::{
+    final_key, hosts_key, intents_key, open_key, progress_key, FinalRecord, HostNote, HostsPage,
+    IntentsPage, JobTakes, LeadRecord, CHUNK, HINTS, LEAD, TOKEN,
+};
 use crate::transport::budget::Budget;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -106,7 +106,7 @@
 const RAISE_AT: usize = 150;
 /// The pause after a write that the service refused.
 const REFUSED: Millis = Millis(300);
-/// An answer this late is taken for none, should the duty have lost it.
+/// An answer this late is taken for none, should the runtime have lost it.
 const LOST: Millis = Millis(8_000);
 /// Bytes that a machine takes on its page, beyond its name, with some images named.
 const HOST_BYTES: usize = 60;
--- a/src/coordination/writer/outcomes.rs
+++ b/src/coordination/writer/outcomes.rs
@@ -2,13 +2,13 @@
 
 use super::super::{Core, Effect};
 use super::{Flight, Work, REFUSED};
-use crate::bookkeeping::pages::StartKey;
-use crate::bookkeeping::records::{
+use crate::ids::{Epoch, JobId, Millis, PageNo, Stamp};
+use crate::protocol::state::Item;
+use crate::storage::pages::StartKey;
+use crate::storage::records::{
     parse_page, parse_progress_key, progress_key, LeadRecord, HINTS, HOSTS, INTENTS, LEAD, OPEN,
     TOKEN,
 };
-use crate::ids::{Epoch, JobId, Millis, PageNo, Stamp};
-use crate::protocol::state::Item;
 use std::collections::BTreeSet;
 
 impl Core {
--- a/src/duties/catalog.rs
+++ b/src/runtime/catalog.rs
@@ -3,10 +3,10 @@
 //! ask the cloud themselves only while there is no copy.
 
 use super::{lock, Node};
-use crate::bookkeeping::records::CATALOG;
 use crate::coordination::Event;
 use crate::protocol::cloud::{RigInfo, RigList};
 use crate::protocol::state::{Change, Guard, Txn};
+use crate::storage::records::CATALOG;
 use hyper::Method;
 use rand::Rng;
 use std::sync::Arc;
--- a/src/duties/copy.rs
+++ b/src/runtime/copy.rs
@@ -6,8 +6,8 @@
 
 use super::state_client::StateError;
 use super::{lock, Node};
-use crate::bookkeeping::records::{OpenRecord, OPEN};
 use crate::ids::{Epoch, JobId, Stamp};
+use crate::storage::records::{OpenRecord, OPEN};
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
--- a/src/duties/following.rs
+++ b/src/runtime/following.rs
@@ -2,12 +2,12 @@
 
 use super::state_client::StateError;
 use super::{lock, time_of_day_ms, Node};
-use crate::bookkeeping::records::{OpenRecord, HINTS, HOSTS, INTENTS, OPEN, PROGRESS};
 use crate::coordination::leadership::Authority;
 use crate::coordination::recovery::Inheritance;
 use crate::coordination::Event;
 use crate::ids::{Epoch, JobId, Millis, Stamp};
 use crate::protocol::state::Item;
+use crate::storage::records::{OpenRecord, HINTS, HOSTS, INTENTS, OPEN, PROGRESS};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
--- a/src/duties/front.rs
+++ b/src/runtime/http_api.rs
@@ -1,4 +1,4 @@
-//! The front: one place where users', workers' and health requests come in.
+//! The HTTP API: one place where users', workers' and health requests come in.
 
 use super::leader::CheckIn;
 use super::peers::STATE_FRESH;
--- a/src/duties/leader.rs
+++ b/src/runtime/leader.rs
@@ -1,4 +1,4 @@
-//! Campaigning for the leadership, and the duties of a leader: the lease, handing over, the step loop.
+//! Campaigning for the leadership, and the tasks of a leader: the lease, handing over, the step loop.
 //! What it reads of the jobs is in `following.rs`, carrying out what the core decides in `effects.rs`.
 
 use super::cloud::list_hosts;
@@ -6,7 +6,6 @@
 use super::following::{inherit, watch_jobs};
 use super::state_client::{StateError, TxnOutcome};
 use super::{lock, Node};
-use crate::bookkeeping::records::{LeadRecord, LEAD, TOKEN};
 use crate::coordination::leadership::{should_hand_over, silence_bound, Authority, Lead};
 use crate::coordination::worker_sessions::CheckInAnswer;
 use crate::coordination::{Core, Effect, Event};
@@ -14,6 +13,7 @@
 use crate::protocol::peers::{PeerReply, PeerRequest};
 use crate::protocol::state::{Change, Guard, Txn};
 use crate::protocol::workers::{Order, Report};
+use crate::storage::records::{LeadRecord, LEAD, TOKEN};
 use rand::Rng;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -264,16 +264,16 @@
             });
             node.leader.taking.send_replace(false);
             tracing::info!(token = %first, jobs, "took over");
-            let mut duties = tokio::task::JoinSet::new();
-            duties.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
+            let mut tasks = tokio::task::JoinSet::new();
+            tasks.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
             let authority = won.authority.clone();
-            duties.spawn(watch_jobs(node.clone(), authority, epoch, end.clone()));
-            duties.spawn(list_hosts(node.clone(), end.clone()));
-            duties.spawn(tell_counts(node.clone(), end.clone()));
+            tasks.spawn(watch_jobs(node.clone(), authority, epoch, end.clone()));
+            tasks.spawn(list_hosts(node.clone(), end.clone()));
+            tasks.spawn(tell_counts(node.clone(), end.clone()));
             let authority = won.authority.clone();
-            duties.spawn(listen_for_workers(node.clone(), authority, end.clone()));
+            tasks.spawn(listen_for_workers(node.clone(), authority, end.clone()));
             end.cancelled().await;
-            duties.shutdown().await;
+            tasks.shutdown().await;
         }
         _ => tracing::info!(token = %first, "could not take over"),
     }
--- a/src/duties/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,11 +1,11 @@
-//! The long-lived duties of one controller: all I/O around the decision core.
+//! The long-lived tasks of one controller: all I/O around the decision core.
 
 pub mod catalog;
 mod cloud;
 pub mod copy;
 mod effects;
 mod following;
-pub mod front;
+pub mod http_api;
 pub mod leader;
 pub mod peers;
 pub mod state_client;
@@ -26,7 +26,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio_util::sync::CancellationToken;
 
-/// What the duties of one controller share.
+/// What the tasks of one controller share.
 pub struct Node {
     pub settings: Settings,
     pub policy: Arc<Policy>,
@@ -135,8 +135,8 @@
         began: Instant::now(),
         settings,
     });
-    let duties = [
-        tokio::spawn(front::serve(node.clone(), front_socket)),
+    let tasks = [
+        tokio::spawn(http_api::serve(node.clone(), front_socket)),
         tokio::spawn(peers::serve(node.clone(), peer_socket)),
         tokio::spawn(catalog::keep(node.clone())),
         tokio::spawn(copy::keep(node.clone())),
@@ -144,9 +144,9 @@
         tokio::spawn(peers::tell_cancelled(node.clone())),
         tokio::spawn(leader::campaign(node.clone())),
     ];
-    for d in duties {
-        if let Err(e) = d.await {
-            tracing::error!(error = %e, "a duty ended");
+    for task in tasks {
+        if let Err(e) = task.await {
+            tracing::error!(error = %e, "a task of the controller ended");
         }
     }
     Ok(())
--- a/src/duties/peers.rs
+++ b/src/runtime/peers.rs
@@ -1,6 +1,6 @@
 //! What controllers ask of each other.
 
-use super::{front, lock, Node};
+use super::{http_api, lock, Node};
 use crate::coordination::Event;
 use crate::ids::{JobId, Millis};
 use crate::protocol::peers::{PeerReply, PeerRequest};
@@ -133,7 +133,7 @@
                     workers_heard_ms: node.workers_heard().map(|m| m.0),
                 },
                 PeerRequest::Forward { method, path, body } => {
-                    let answer = front::user_request(&node, &method, &path, &body, true).await;
+                    let answer = http_api::user_request(&node, &method, &path, &body, true).await;
                     PeerReply::Answer {
                         status: answer.status,
                         body: answer.body,
--- a/src/duties/users.rs
+++ b/src/runtime/users.rs
@@ -3,11 +3,9 @@
 //! states, which can't change, are kept.
 
 use super::copy::OpenNote;
-use super::front::Reply;
+use super::http_api::Reply;
 use super::state_client::{StateError, TxnOutcome};
 use super::{lock, time_of_day_ms, Node};
-use crate::bookkeeping::ledger::{within, Amount};
-use crate::bookkeeping::records::{final_key, open_key, FinalRecord, OpenRecord};
 use crate::ids::{JobId, Stamp};
 use crate::protocol::cloud::RigInfo;
 use crate::protocol::state::{Change, Guard, Txn};
@@ -15,6 +13,8 @@
     parse_submission, Accepted, JobPhase, JobSpec, Malformed, Shape, Status,
 };
 use crate::settings::Team;
+use crate::storage::ledger::{within, Amount};
+use crate::storage::records::{final_key, open_key, FinalRecord, OpenRecord};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::{Duration, Instant};
 
--- a/src/bookkeeping/records.rs
+++ b/src/storage/records.rs
@@ -12,9 +12,9 @@
 //! | `h/N` | a page of machines rented, with hints about them | the leader |
 //! | `hints` | arrivals and run times seen, so that a new leader need not learn them again | the leader |
 
-use crate::bookkeeping::ledger::Amount;
 use crate::ids::{HostId, Image, JobId, PageNo, PieceId, Rig, Site, Token, Try};
 use crate::protocol::users::{JobPhase, JobSpec};
+use crate::storage::ledger::Amount;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use base64::Engine;
 use serde::{Deserialize, Serialize};
--- a/src/transport/sockets.rs
+++ b/src/transport/sockets.rs
@@ -19,12 +19,12 @@
 const OWN: usize = 16;
 
 impl Sockets {
-    /// Divides them: links without which nothing can be decided come first, the front has the rest.
+    /// Divides them: links without which nothing can be decided come first, the HTTP server has the rest.
     pub fn divide(most: usize, siblings: usize, user_requests: usize) -> Sockets {
         let direct = (most / 30).max(4);
         let siblings_in = (most / 20).clamp(8, 16 + 8 * siblings.max(1));
         let to_sibling = 4;
-        // Each user's request may have one of its own; the leader's duties a few.
+        // Each user's request may have one of its own; the leader's tasks a few.
         let to_state = user_requests + 16;
         let to_cloud = 4;
         let others = OWN + direct + siblings_in + to_sibling * siblings + to_state + to_cloud;
--- a/tests/encodings.rs
+++ b/tests/encodings.rs
@@ -1,10 +1,10 @@
 //! Stored records and messages between controllers, by example bytes. A landing may take over from the one
 //! before it while both run: a rename in the code, or a new field, must not change what the other reads.
 
-use chalklug::bookkeeping::records::*;
 use chalklug::ids::*;
 use chalklug::protocol::peers::{PeerReply, PeerRequest};
 use chalklug::protocol::users::{parse_submission, JobPhase};
+use chalklug::storage::records::*;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,7 +1,6 @@
 //! The core alone at 2,000 machines and some tens of thousands of tasks: what an event costs is
 //! counted, not timed. The work asked of the outside must follow what changed, not the fleet.
 
-use chalklug::bookkeeping::records::*;
 use chalklug::coordination::leadership::Lead;
 use chalklug::coordination::recovery::Inheritance;
 use chalklug::coordination::waiting::WaitReason;
@@ -13,6 +12,7 @@
 use chalklug::protocol::users::parse_submission;
 use chalklug::protocol::workers::{Order, PiecePhase, PieceReport, Report};
 use chalklug::settings::*;
+use chalklug::storage::records::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -284,7 +284,7 @@
         .get(&id)
         .cloned()
         .unwrap_or_else(|| spec(&[id.as_str()]));
-    use chalklug::bookkeeping::records::{final_key, open_key, FinalRecord, OpenRecord};
+    use chalklug::storage::records::{final_key, open_key, FinalRecord, OpenRecord};
     let delete = |key| Change::Delete { delete: key };
     let apply = match verb {
         "rogue-delete" => vec![delete(open_key(&id)), delete(final_key(&id))],
--- a/tests/world/leading.rs
+++ b/tests/world/leading.rs
@@ -1,13 +1,13 @@
 //! Who leads: leases, takeovers, and what reaches the leader of the jobs.
 
 use super::World;
-use chalklug::bookkeeping::records::*;
 use chalklug::coordination::leadership::{Authority, Lead};
 use chalklug::coordination::recovery::Inheritance;
 use chalklug::coordination::{Core, Event};
 use chalklug::ids::*;
 use chalklug::protocol::state::{Change, Txn};
 use chalklug::protocol::workers::Order;
+use chalklug::storage::records::*;
 
 impl World {
     /// The leader dies. What it has sent stays on its way.
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -8,7 +8,6 @@
 pub mod store;
 pub mod worker;
 
-use chalklug::bookkeeping::records::*;
 use chalklug::coordination::leadership::Authority;
 use chalklug::coordination::worker_sessions::CheckInAnswer;
 use chalklug::coordination::{Core, Effect, Event, Policy};
@@ -18,6 +17,7 @@
 use chalklug::protocol::users::{JobPhase, JobSpec};
 use chalklug::protocol::workers::{Order, Report};
 use chalklug::settings::LeaderTimes;
+use chalklug::storage::records::*;
 use checker::Checker;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
--- a/tests/world/store.rs
+++ b/tests/world/store.rs
@@ -1,9 +1,9 @@
 //! A stand-in for the state service: versions, guards, changes since an epoch.
 
-use chalklug::bookkeeping::records::{final_key, open_key, FinalRecord};
 use chalklug::ids::{Epoch, JobId, Stamp};
 use chalklug::protocol::state::{Change, Item, Txn};
 use chalklug::protocol::users::JobPhase;
+use chalklug::storage::records::{final_key, open_key, FinalRecord};
 use std::collections::BTreeMap;
 
 #[derive(Default)]
