--- a/src/coordination/ageing.rs
+++ b/src/coordination/ageing.rs
@@ -51,7 +51,7 @@
 /// for a rental and a fetch.
 const LATE: f64 = 0.67;
 /// The part of a group that may be late before its jobs go first.
-const DANGER: f64 = 0.25;
+const LATE_SHARE_LIMIT: f64 = 0.25;
 /// Beginnings count less with age, by this time constant.
 const MEMORY_S: f64 = 300.0;
 /// Sizes remembered of each class.
@@ -129,7 +129,7 @@
             let b = begun.get(group).map(|b| b.at(now));
             let (in_time, late) = b.map_or((0.0, 0.0), |b| (b.in_time, b.late));
             let late = late + waiting;
-            late > (in_time + late) * DANGER
+            late > (in_time + late) * LATE_SHARE_LIMIT
         });
         self.ageing.endangered = endangered.map(|(group, _)| group).collect();
     }
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -20,9 +20,9 @@
 /// What has been seen of one class.
 #[derive(Debug, Clone)]
 pub struct Demand {
-    /// Jobs that arrived in each of the last stretches of time, by the stretch's number; the oldest
+    /// Jobs that arrived in each of the last intervals of time, by the interval's number; the oldest
     /// first, without gaps.
-    stretches: VecDeque<(i64, u32)>,
+    intervals: VecDeque<(i64, u32)>,
     /// What a former leader had seen, and until when it is all that is known.
     told: Option<(f64, Millis)>,
     /// Tasks of a job, on average of late.
@@ -31,49 +31,49 @@
     last: VecDeque<JobSpec>,
 }
 
-/// One stretch, and how many are remembered.
-const STRETCH: Millis = Millis(10_000);
-const STRETCHES: i64 = 12;
+/// One interval, and how many are remembered.
+const INTERVAL: Millis = Millis(10_000);
+const INTERVALS_KEPT: i64 = 12;
 /// Jobs remembered for what they need.
 const LAST: usize = 12;
 /// How much the last job counts in the average size.
 const SIZE_NEW: f64 = 0.06;
-/// So many of the latest stretches may tell that arrivals have ebbed.
+/// So many of the latest intervals may tell that arrivals have ebbed.
 const LULL: usize = 4;
-/// A stretch with so many more jobs than the others is a burst of its own.
+/// An interval with so many more jobs than the others is a burst of its own.
 const OUTLIER: f64 = 3.0;
 
 impl Demand {
     fn new(spec: &JobSpec) -> Demand {
         Demand {
-            stretches: VecDeque::new(),
+            intervals: VecDeque::new(),
             told: None,
             tasks: f64::from(spec.pieces),
             last: VecDeque::from([spec.clone()]),
         }
     }
 
-    fn stretch(at: Millis) -> i64 {
-        at.0.div_euclid(STRETCH.0)
+    fn interval(at: Millis) -> i64 {
+        at.0.div_euclid(INTERVAL.0)
     }
 
     fn note(&mut self, spec: &JobSpec, at: Millis) {
-        let n = Demand::stretch(at);
-        match self.stretches.iter_mut().find(|(m, _)| *m == n) {
+        let n = Demand::interval(at);
+        match self.intervals.iter_mut().find(|(m, _)| *m == n) {
             Some((_, jobs)) => *jobs += 1,
             None => {
                 // Jobs of before a takeover come in no order.
-                let place = self.stretches.partition_point(|(m, _)| *m < n);
-                self.stretches.insert(place, (n, 1));
+                let place = self.intervals.partition_point(|(m, _)| *m < n);
+                self.intervals.insert(place, (n, 1));
             }
         }
         while let (Some((first, _)), Some((last, _))) =
-            (self.stretches.front(), self.stretches.back())
+            (self.intervals.front(), self.intervals.back())
         {
-            if last - first <= STRETCHES {
+            if last - first <= INTERVALS_KEPT {
                 break;
             }
-            self.stretches.pop_front();
+            self.intervals.pop_front();
         }
         self.tasks += (f64::from(spec.pieces) - self.tasks) * SIZE_NEW;
         self.last.push_back(spec.clone());
@@ -87,22 +87,24 @@
         self.last.iter()
     }
 
-    /// Jobs to be expected each second. One stretch that stands out counts for nothing by itself (at
+    /// Jobs to be expected each second. One interval that stands out counts for nothing by itself (at
     /// the start of a day, all that had gathered arrives at once); two in a row are a burst.
     pub fn jobs_per_s(&self, now: Millis) -> f64 {
-        let now_n = Demand::stretch(now);
+        let now_n = Demand::interval(now);
         let seen = self.seen_per_s(now_n);
         match self.told {
-            Some((told, at)) if now_n - Demand::stretch(at) <= STRETCHES / 2 => told.max(seen),
+            Some((told, at)) if now_n - Demand::interval(at) <= INTERVALS_KEPT / 2 => {
+                told.max(seen)
+            }
             _ => seen,
         }
     }
 
     fn seen_per_s(&self, now_n: i64) -> f64 {
-        let Some((first, _)) = self.stretches.front() else {
+        let Some((first, _)) = self.intervals.front() else {
             return 0.0;
         };
-        let from = (*first).max(now_n - STRETCHES);
+        let from = (*first).max(now_n - INTERVALS_KEPT);
         let mut counts: Vec<u32> = (from..now_n).map(|n| self.jobs_in(n)).collect();
         let latest: Vec<u32> = counts.iter().rev().take(LULL).copied().collect();
         let last_two = match counts.as_slice() {
@@ -122,12 +124,12 @@
         } else {
             (rest + largest) / n as f64
         };
-        // Two stretches well above what chance makes of the usual.
+        // Two intervals well above what chance makes of the usual.
         let burst = last_two > usual + 2.0 * usual.sqrt() + 1.0;
         if burst {
-            return last_two / STRETCH.secs();
+            return last_two / INTERVAL.secs();
         }
-        // The latest stretches hold less than chance makes of the usual: arrivals have ebbed. Guards
+        // The latest intervals hold less than chance makes of the usual: arrivals have ebbed. Guards
         // against machines kept for minutes for jobs that no longer come.
         let ebbed = (2..=latest.len()).map(|k| {
             let sum: f64 = latest.iter().take(k).copied().map(f64::from).sum();
@@ -135,11 +137,11 @@
         });
         let ebbed = ebbed.filter(|(sum, k)| *sum < usual * k - 2.5 * (usual * k).sqrt());
         let least = ebbed.map(|(sum, k)| sum / k).fold(usual, f64::min);
-        least / STRETCH.secs()
+        least / INTERVAL.secs()
     }
 
     fn jobs_in(&self, n: i64) -> u32 {
-        let found = self.stretches.iter().find(|(m, _)| *m == n);
+        let found = self.intervals.iter().find(|(m, _)| *m == n);
         found.map_or(0, |(_, jobs)| *jobs)
     }
 
@@ -178,7 +180,7 @@
     /// Whether nothing is to be expected, of any class; never while too little has been seen to tell.
     pub(crate) fn ebbed(&self, now: Millis) -> bool {
         let mut all = self.demand.values();
-        all.any(|d| d.stretches.len() > LULL)
+        all.any(|d| d.intervals.len() > LULL)
             && self.demand.values().all(|d| d.jobs_per_s(now) <= 0.0)
     }
 
@@ -228,7 +230,7 @@
         }
         assert!(
             ebb.jobs_per_s(Millis(110_000)) > 0.5,
-            "one quiet stretch is chance"
+            "one quiet interval is chance"
         );
         assert_eq!(ebb.jobs_per_s(Millis(130_000)), 0.0, "three are an ebb");
         assert_eq!(d.jobs_per_s(Millis(300_000)), 0.0, "nothing for long");
--- a/src/coordination/estimates.rs
+++ b/src/coordination/estimates.rs
@@ -1,7 +1,7 @@
 //! How long tasks run, and how much work a job is: the owners' guesses, corrected by what was seen.
 
 use super::Core;
-use crate::ids::{HostId, Millis, PieceId, Try};
+use crate::ids::{Attempt, HostId, Millis, TaskId};
 use crate::protocol::users::JobSpec;
 use crate::storage::ledger::Job;
 use serde::{Deserialize, Serialize};
@@ -24,7 +24,7 @@
 const TAIL: f64 = 0.35;
 
 impl Core {
-    pub(crate) fn note_run_time(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try)) {
+    pub(crate) fn note_run_time(&mut self, now: Millis, host: &HostId, key: &(TaskId, Attempt)) {
         let start = self.machines.get(host).and_then(|m| m.starts.get(key));
         // Guards against estimates that shrink with each takeover: when a start of a former leader began
         // to run is not known, and it seemed to have run only since we saw it.
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -2,15 +2,15 @@
 
 use super::placement::Unmet;
 use super::{Core, Effect};
-use crate::ids::{HostId, Millis, Rig, Site};
+use crate::ids::{HostId, MachineType, Millis, Zone};
 use crate::protocol::cloud::{CloudHost, CloudPhase};
 use crate::protocol::users::JobSpec;
-use crate::storage::ledger::{Amount, Machine, Standing};
+use crate::storage::ledger::{Amount, Machine, MachineState};
 use crate::transport::budget::Budget;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What can be rented: type, zone and whether spot.
-pub type Kind = (Rig, Site, bool);
+pub type Kind = (MachineType, Zone, bool);
 
 /// A rental under way.
 #[derive(Debug, Clone)]
@@ -34,7 +34,7 @@
     /// Returns that failed: not tried again before.
     return_after: Millis,
     /// Zones taken to be cut off, until then.
-    suspected: BTreeMap<Site, Millis>,
+    suspected: BTreeMap<Zone, Millis>,
     /// When the forecast was last made, and when it was last looked what to return.
     looked: Millis,
     swept: Millis,
@@ -99,7 +99,7 @@
 const LOOK_S: f64 = 2.0;
 
 impl Core {
-    pub(crate) fn boot_s(&self, rig: &Rig) -> f64 {
+    pub(crate) fn boot_s(&self, rig: &MachineType) -> f64 {
         self.rigs.get(rig).map_or(30.0, |r| r.boot_s)
     }
 
@@ -110,36 +110,36 @@
         self.boot_s(&m.rig) + self.fetch_s(&m.rig, gb)
     }
 
-    /// Takes a machine into the ledger, unless it is there. `vouched` if more than a report speaks
+    /// Takes a machine into the ledger, unless it is there. `verified` if more than a report speaks
     /// for it.
     #[allow(clippy::too_many_arguments)]
     pub(crate) fn enter_machine(
         &mut self,
         now: Millis,
         id: &HostId,
-        rig: &Rig,
-        site: &Site,
+        rig: &MachineType,
+        site: &Zone,
         spot: bool,
         since: Millis,
-        vouched: bool,
+        verified: bool,
     ) {
         if !self.machines.contains_key(id) {
             let whole = self.capacity(rig);
             let mut m = Machine::new(id.clone(), rig.clone(), site.clone(), spot, whole, since);
             m.answered = self.began;
-            m.vouched = false;
+            m.verified = false;
             m.direct_after = now;
             self.machines.insert(id.clone(), m);
         }
-        if vouched {
-            self.vouch(id);
+        if verified {
+            self.verify_machine(id);
         }
     }
 
     /// The machine exists: it is put on record, and may be given work.
-    pub(crate) fn vouch(&mut self, id: &HostId) {
-        if let Some(m) = self.machines.get_mut(id).filter(|m| !m.vouched) {
-            m.vouched = true;
+    pub(crate) fn verify_machine(&mut self, id: &HostId) {
+        if let Some(m) = self.machines.get_mut(id).filter(|m| !m.verified) {
+            m.verified = true;
             m.page = Some(self.writer.hosts.enter(id));
             self.dirty = true;
         }
@@ -164,10 +164,10 @@
         let (mut booting, mut up, mut idle, mut spot, mut drained) = (0, 0, 0, 0, 0);
         let mut gpus = [0.0; 4];
         for m in self.machines.values() {
-            booting += u32::from(m.standing == Standing::Booting);
+            booting += u32::from(m.state == MachineState::Booting);
             spot += u32::from(m.spot);
             drained += u32::from(m.drain || m.recall_at.is_some());
-            if m.standing != Standing::Up {
+            if m.state != MachineState::Up {
                 continue;
             }
             up += 1;
@@ -274,7 +274,7 @@
         let up = self
             .machines
             .values()
-            .filter(|m| m.standing == Standing::Up);
+            .filter(|m| m.state == MachineState::Up);
         let (silent, all) = up.fold((0, 0), |(silent, all), m| {
             (silent + usize::from(m.reported.is_none()), all + 1)
         });
@@ -318,7 +318,7 @@
         now: Millis,
         spec: &JobSpec,
         left: u32,
-        zones: &BTreeMap<Site, usize>,
+        zones: &BTreeMap<Zone, usize>,
     ) -> Option<Kind> {
         let need = Amount::of(spec);
         let mut best: Option<((f64, usize), Kind)> = None;
@@ -354,7 +354,7 @@
         self.choose_kind(now, spec, 1, &BTreeMap::new()).is_some()
             || self.fleet.hires.values().any(|h| serves(&h.kind))
             || self.machines.values().any(|m| {
-                m.standing == Standing::Booting && serves(&(m.rig.clone(), m.site.clone(), m.spot))
+                m.state == MachineState::Booting && serves(&(m.rig.clone(), m.site.clone(), m.spot))
             })
     }
 
@@ -373,10 +373,11 @@
             return BTreeSet::new();
         }
         let quiet = Millis::from_secs(self.policy.facts.workers.report_s * 2.0);
-        let mut zones: BTreeMap<Site, (f64, f64)> = BTreeMap::new();
+        let mut zones: BTreeMap<Zone, (f64, f64)> = BTreeMap::new();
         for m in self.machines.values() {
-            let lost = m.standing == Standing::Returning && m.heard.is_none_or(|h| now - h > quiet);
-            if m.standing == Standing::Up || lost {
+            let lost =
+                m.state == MachineState::Returning && m.heard.is_none_or(|h| now - h > quiet);
+            if m.state == MachineState::Up || lost {
                 let z = zones.entry(m.site.clone()).or_default();
                 z.0 += 1.0;
                 z.1 += f64::from(u8::from(lost || m.silent(now, quiet)));
@@ -411,12 +412,12 @@
         let mut back: BTreeSet<HostId> = self.given_up(now);
         let ebbed = !self.work_waits() && self.ebbed(now);
         for m in self.machines.values() {
-            if m.standing == Standing::Returning {
+            if m.state == MachineState::Returning {
                 continue;
             }
             let busy = m.live > 0;
             let age = now - m.since;
-            let dead_boot = m.standing == Standing::Booting
+            let dead_boot = m.state == MachineState::Booting
                 && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
             // Idle and spare: returned soon. Otherwise kept for as long as it may be of use.
             let spare = self.fleet.spare.contains(&m.id);
@@ -427,7 +428,7 @@
                     (true, _) => SPARE,
                     (false, _) => WANTED,
                 };
-            let idle = m.standing == Standing::Up
+            let idle = m.state == MachineState::Up
                 && !self.reserved.contains_key(&m.id)
                 && m.idle_since.is_some_and(|t| (now - t).secs() > keep_s);
             let stuck = m.drain_since.is_some_and(|t| now - t > DRAIN_PATIENCE);
@@ -438,7 +439,7 @@
         let again: Vec<HostId> = self
             .machines
             .values()
-            .filter(|m| m.standing == Standing::Returning && m.direct_after <= now)
+            .filter(|m| m.state == MachineState::Returning && m.direct_after <= now)
             .map(|m| m.id.clone())
             .collect();
         back.extend(again);
@@ -449,7 +450,7 @@
         for h in &hosts {
             if let Some(m) = self.machines.get_mut(h) {
                 tracing::debug!(host = %h, drain = m.drain, failed = m.list_failed, heard = ?m.heard, "returning");
-                m.standing = Standing::Returning;
+                m.state = MachineState::Returning;
                 self.indexes.spacious.remove(h);
                 // Not asked again while the answer is awaited.
                 m.direct_after = now + Millis(10_000);
@@ -515,7 +516,7 @@
             m.missing_since = None;
         }
         for m in self.machines.values_mut() {
-            if listed.contains(&m.id) || m.standing == Standing::Returning {
+            if listed.contains(&m.id) || m.state == MachineState::Returning {
                 continue;
             }
             let known_long = now - m.since.max(self.began) > lag;
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -9,9 +9,9 @@
 use super::fleet::Kind;
 use super::placement::{emptiness, Unmet};
 use super::Core;
-use crate::ids::{HostId, Image, Millis, Site};
+use crate::ids::{HostId, Image, Millis, Zone};
 use crate::protocol::users::{JobSpec, Shape};
-use crate::storage::ledger::{Amount, Machine, Standing, Start};
+use crate::storage::ledger::{Amount, Machine, MachineState, Start};
 use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -97,10 +97,10 @@
 }
 
 /// The forecast under way.
-struct Sheet {
+struct ForecastFleet {
     bins: Vec<Bin>,
     /// Machines in each zone.
-    zones: BTreeMap<Site, usize>,
+    zones: BTreeMap<Zone, usize>,
     /// No more bins than this.
     most: usize,
 }
@@ -108,7 +108,7 @@
 /// A booting machine counts as coming for this many boot times.
 const COMING_BOOTS: f64 = 2.0;
 /// Estimates of what runs are doubted by this much, in favour of a machine whose boot time is known.
-const DOUBT: f64 = 1.25;
+const ESTIMATE_MARGIN: f64 = 1.25;
 /// A task to come that would wait for less than this rents nothing.
 const PATIENCE_S: f64 = 3.0;
 
@@ -116,13 +116,13 @@
     /// Looks ahead with what waits, in queue order, and what is to come; at most so many machines are
     /// rented.
     pub(super) fn look_ahead(&self, now: Millis, unmet: &[Unmet], most: usize) -> Seen {
-        let mut zones: BTreeMap<Site, usize> = BTreeMap::new();
+        let mut zones: BTreeMap<Zone, usize> = BTreeMap::new();
         for m in self.machines.values() {
             *zones.entry(m.site.clone()).or_default() += 1;
         }
         let bins = self.forecast(now);
         let coming = bins.len();
-        let mut sheet = Sheet {
+        let mut fleet = ForecastFleet {
             most: coming + most,
             bins,
             zones,
@@ -134,33 +134,33 @@
                 ready: true,
                 from_s: None,
             };
-            self.give(now, &mut sheet, &ask);
+            self.give(now, &mut fleet, &ask);
         }
-        self.give_waiting(now, unmet, &mut sheet);
-        self.give_to_come(now, &mut sheet, true);
-        sheet.most = 0;
-        self.give_to_come(now, &mut sheet, false);
+        self.give_waiting(now, unmet, &mut fleet);
+        self.give_to_come(now, &mut fleet, true);
+        fleet.most = 0;
+        self.give_to_come(now, &mut fleet, false);
         let mut rent: BTreeMap<Kind, u32> = BTreeMap::new();
-        for b in sheet.bins.drain(coming..) {
+        for b in fleet.bins.drain(coming..) {
             *rent.entry(b.kind).or_default() += 1;
         }
-        let spare = sheet.bins.into_iter().filter_map(|b| b.idle).collect();
+        let spare = fleet.bins.into_iter().filter_map(|b| b.idle).collect();
         Seen { rent, spare }
     }
 
-    fn give_waiting(&self, now: Millis, unmet: &[Unmet], sheet: &mut Sheet) {
+    fn give_waiting(&self, now: Millis, unmet: &[Unmet], fleet: &mut ForecastFleet) {
         let mut used = self.used.clone();
         for u in unmet {
             let Some(job) = self.jobs.get(&u.job) else {
                 continue;
             };
             let left = u.count.min(self.headroom(&job.spec, job.team, &used));
-            if left == 0 || sheet.bins.len() >= sheet.most {
+            if left == 0 || fleet.bins.len() >= fleet.most {
                 continue;
             }
             let mut spec = job.spec.clone();
             if spec.together && job.stands_together() && spec.site.is_none() {
-                spec.site = self.zone_for(now, sheet, &spec);
+                spec.site = self.zone_for(now, fleet, &spec);
             }
             let ask = Ask {
                 spec: &spec,
@@ -168,7 +168,7 @@
                 ready: false,
                 from_s: None,
             };
-            let given = self.give(now, sheet, &ask);
+            let given = self.give(now, fleet, &ask);
             if let Some(u) = job.team.and_then(|t| used.get_mut(t.0)) {
                 u.add(&Amount::of(&job.spec).times(f64::from(given)));
             }
@@ -176,12 +176,12 @@
     }
 
     /// What should arrive in the time that it takes to have another machine with an image.
-    fn give_to_come(&self, now: Millis, sheet: &mut Sheet, rent: bool) {
+    fn give_to_come(&self, now: Millis, fleet: &mut ForecastFleet, rent: bool) {
         for d in self.demand.values() {
             let jobs_per_s = d.jobs_per_s(now);
             let parts = d.last().len() as f64;
             for (i, like) in d.last().enumerate() {
-                let Some(kind) = self.choose_kind(now, like, u32::MAX, &sheet.zones) else {
+                let Some(kind) = self.choose_kind(now, like, u32::MAX, &fleet.zones) else {
                     continue;
                 };
                 let ahead = self.boot_s(&kind.0) + self.fetch_s(&kind.0, like.image_gb);
@@ -197,7 +197,7 @@
                     ready: false,
                     from_s: Some(ahead * (i as f64 + 0.5) / parts),
                 };
-                self.give(now, sheet, &ask);
+                self.give(now, fleet, &ask);
             }
         }
     }
@@ -228,8 +228,8 @@
                 images: Vec::new(),
                 class: None,
             };
-            match m.standing {
-                Standing::Booting if !m.drain => {
+            match m.state {
+                MachineState::Booting if !m.drain => {
                     let age = (now - m.since).secs();
                     let boot = self.boot_s(&m.rig);
                     if age < boot * COMING_BOOTS {
@@ -237,7 +237,7 @@
                         bins.push(bin(rest, self.capacity(&m.rig)));
                     }
                 }
-                Standing::Up if self.usable(m, now) => {
+                MachineState::Up if self.usable(m, now) => {
                     let mut b = bin(0.0, m.free);
                     b.idle = (m.live == 0).then(|| m.id.clone());
                     b.empty = emptiness(&m.free, &self.capacity(&m.rig));
@@ -251,7 +251,7 @@
                             Some(t) => self.rest_s(job, (now - t).secs()),
                             None => self.estimate_of(job) + self.rest_of_fetch(now, m, s),
                         };
-                        b.freed.push((rest * DOUBT, s.need));
+                        b.freed.push((rest * ESTIMATE_MARGIN, s.need));
                     }
                     b.freed.sort_by(|a, b| a.0.total_cmp(&b.0));
                     bins.push(b);
@@ -279,11 +279,11 @@
 
     /// The zone for a gang that must stay together: where most of it could start soon, if the rest
     /// can be rented there; among equals the one with least machines.
-    fn zone_for(&self, now: Millis, sheet: &Sheet, spec: &JobSpec) -> Option<Site> {
+    fn zone_for(&self, now: Millis, fleet: &ForecastFleet, spec: &JobSpec) -> Option<Zone> {
         let need = Amount::of(spec);
-        let sites: BTreeSet<&Site> = self.rigs.values().flat_map(|r| &r.sites).collect();
-        let rank = |site: &Site| {
-            let there = sheet
+        let sites: BTreeSet<&Zone> = self.rigs.values().flat_map(|r| &r.sites).collect();
+        let rank = |site: &Zone| {
+            let there = fleet
                 .bins
                 .iter()
                 .filter(|b| b.kind.1 == *site && Self::kind_allowed(spec, &b.kind))
@@ -294,8 +294,8 @@
             let mut here = spec.clone();
             here.site = Some(site.clone());
             let rest =
-                there >= spec.pieces || self.choose_kind(now, &here, 1, &sheet.zones).is_some();
-            let machines = sheet.zones.get(site).copied().unwrap_or(0);
+                there >= spec.pieces || self.choose_kind(now, &here, 1, &fleet.zones).is_some();
+            let machines = fleet.zones.get(site).copied().unwrap_or(0);
             (rest, there, Reverse(machines))
         };
         sites.into_iter().max_by_key(|s| rank(s)).cloned()
@@ -303,7 +303,7 @@
 
     /// Gives like tasks, one by one, to the machine of the forecast on which each starts first; a new
     /// one joins the forecast if it would be sooner. Says how many were given.
-    fn give(&self, now: Millis, sheet: &mut Sheet, ask: &Ask) -> u32 {
+    fn give(&self, now: Millis, fleet: &mut ForecastFleet, ask: &Ask) -> u32 {
         let spec = ask.spec;
         let need = Amount::of(spec);
         // Tasks of a gang run at once: none can follow another on the same room.
@@ -332,7 +332,7 @@
                 && (!ask.ready || need.fits(&b.room))
                 && (!bulk || b.freed.len() <= 1)
         };
-        let mut soonest: BinaryHeap<Reverse<(Soon, usize)>> = sheet
+        let mut soonest: BinaryHeap<Reverse<(Soon, usize)>> = fleet
             .bins
             .iter()
             .enumerate()
@@ -340,11 +340,11 @@
             .map(|(i, b)| Reverse((when(b), i)))
             .collect();
         let choose =
-            |left: u32, zones: &BTreeMap<Site, usize>| self.choose_kind(now, spec, left, zones);
+            |left: u32, zones: &BTreeMap<Zone, usize>| self.choose_kind(now, spec, left, zones);
         let mut given = 0;
-        let mut new = choose(ask.n, &sheet.zones);
+        let mut new = choose(ask.n, &fleet.zones);
         while given < ask.n {
-            if sheet.bins.len() >= sheet.most {
+            if fleet.bins.len() >= fleet.most {
                 new = None;
             }
             let best = soonest.pop().map(|Reverse(b)| b);
@@ -359,9 +359,9 @@
                 (back, Some(t)) => {
                     soonest.extend(back.map(Reverse));
                     let Some(kind) = new.take() else { break };
-                    *sheet.zones.entry(kind.1.clone()).or_default() += 1;
-                    new = choose(ask.n - given, &sheet.zones);
-                    sheet.bins.push(Bin {
+                    *fleet.zones.entry(kind.1.clone()).or_default() += 1;
+                    new = choose(ask.n - given, &fleet.zones);
+                    fleet.bins.push(Bin {
                         room: self.capacity(&kind.0),
                         idle: None,
                         empty: 1.0,
@@ -371,11 +371,11 @@
                         images: vec![spec.image.clone()],
                         class: None,
                     });
-                    (t, sheet.bins.len() - 1)
+                    (t, fleet.bins.len() - 1)
                 }
                 _ => break,
             };
-            let b = &mut sheet.bins[i];
+            let b = &mut fleet.bins[i];
             if !b.images.contains(&spec.image) {
                 b.images.push(spec.image.clone());
             }
--- a/src/coordination/images.rs
+++ b/src/coordination/images.rs
@@ -3,9 +3,9 @@
 
 use super::placement::{Need, Pass};
 use super::Core;
-use crate::ids::{HostId, Image, JobId, Millis, Rig};
+use crate::ids::{HostId, Image, JobId, MachineType, Millis};
 use crate::protocol::users::{JobSpec, Shape};
-use crate::storage::ledger::{Machine, Standing};
+use crate::storage::ledger::{Machine, MachineState};
 use std::collections::BTreeMap;
 
 /// A job waits for machines that have its image for this part of the time that a fetch takes.
@@ -66,7 +66,7 @@
     pub(crate) fn recheck_images(&mut self) {
         let mut room: BTreeMap<Image, f64> = BTreeMap::new();
         for m in self.machines.values() {
-            if m.standing != Standing::Up || m.drain || m.recall_at.is_some() {
+            if m.state != MachineState::Up || m.drain || m.recall_at.is_some() {
                 continue;
             }
             let gpus = self.capacity(&m.rig).gpus;
@@ -107,7 +107,7 @@
     }
 
     /// Seconds that a machine of the type takes to fetch so much.
-    pub(crate) fn fetch_s(&self, rig: &Rig, gb: f64) -> f64 {
+    pub(crate) fn fetch_s(&self, rig: &MachineType, gb: f64) -> f64 {
         let rate = self.rigs.get(rig).map_or(0.0, |r| r.fetch_gb_per_s);
         if rate > 0.0 {
             gb / rate
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -23,14 +23,14 @@
 
 use crate::coordination::leadership::Lead;
 use crate::ids::{
-    Epoch, HostId, Image, JobId, Millis, Rig, Session, Site, Stamp, TeamNo, Token, Try,
+    Attempt, Epoch, HostId, Image, JobId, MachineType, Millis, Session, Stamp, TeamNo, Token, Zone,
 };
-use crate::protocol::cloud::{CloudHost, RigInfo};
+use crate::protocol::cloud::{CloudHost, MachineTypeInfo};
 use crate::protocol::state::{Item, Txn};
 use crate::protocol::users::JobSpec;
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Facts, Objective, Operator, Settings, Team};
-use crate::storage::ledger::{Amount, Job, Machine, Standing};
+use crate::storage::ledger::{Amount, Job, Machine, MachineState};
 use crate::storage::records::OpenRecord;
 use crate::transport::budget::Budget;
 use crate::transport::sockets::Sockets;
@@ -144,7 +144,7 @@
     /// A direct command was not answered. `sent` is false if it certainly never left.
     DirectFailed { host: HostId, seq: u64, sent: bool },
     /// Machine types and their prices.
-    Rigs(Vec<RigInfo>),
+    Rigs(Vec<MachineTypeInfo>),
     /// The whole machine list, asked for at the given moment.
     Hosts {
         asked: Millis,
@@ -196,8 +196,8 @@
     },
     Rent {
         hire: String,
-        rig: Rig,
-        site: Site,
+        rig: MachineType,
+        site: Zone,
         spot: bool,
         count: u32,
     },
@@ -218,7 +218,7 @@
     pub(crate) day_ms: u64,
     /// When this leadership began: no former leader has answered a worker since.
     pub(crate) began: Millis,
-    pub(crate) rigs: BTreeMap<Rig, RigInfo>,
+    pub(crate) rigs: BTreeMap<MachineType, MachineTypeInfo>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) graph: Graph,
     pub(crate) machines: BTreeMap<HostId, Machine>,
@@ -275,7 +275,7 @@
 
     /// Machines whose workers should be reporting.
     pub fn machines_up(&self) -> usize {
-        let up = |m: &&Machine| m.standing == Standing::Up;
+        let up = |m: &&Machine| m.state == MachineState::Up;
         self.machines.values().filter(up).count()
     }
 
@@ -285,13 +285,13 @@
     }
 
     /// A try never used before: tokens are unique for ever, and so is the count within one.
-    pub(crate) fn fresh_try(&mut self) -> Try {
+    pub(crate) fn fresh_try(&mut self) -> Attempt {
         self.next_try += 1;
-        Try((self.lead.first.0 << 20) | (self.next_try & 0xf_ffff))
+        Attempt((self.lead.first.0 << 20) | (self.next_try & 0xf_ffff))
     }
 
     /// What one machine of the type offers.
-    pub(crate) fn capacity(&self, rig: &Rig) -> Amount {
+    pub(crate) fn capacity(&self, rig: &MachineType) -> Amount {
         self.rigs.get(rig).map_or(Amount::default(), |r| Amount {
             cpus: r.cpus,
             gpus: r.gpus,
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -2,8 +2,8 @@
 
 use super::{Core, Effect};
 use crate::ids::{HostId, Millis, Session};
-use crate::protocol::workers::{Cause, Order, PiecePhase};
-use crate::storage::ledger::{DirectCarrier, Machine, Standing, Start};
+use crate::protocol::workers::{Cause, Order, TaskPhase};
+use crate::storage::ledger::{DirectCarrier, Machine, MachineState, Start};
 use std::collections::BTreeSet;
 
 /// The part of the wait for a gang by which fetches may differ, as estimated: they take up to half as
@@ -40,7 +40,7 @@
             && !s.inherited
             && !m.drain
             && m.recall_at.is_none()
-            && m.standing == Standing::Up
+            && m.state == MachineState::Up
             && self
                 .jobs
                 .get(&s.piece.job)
@@ -65,7 +65,7 @@
             m.piece.job == s.piece.job
                 && m.attempt == s.attempt
                 && m.image_s.is_some_and(|later| later > soon + patience)
-                && m.seen.is_none_or(|x| x.phase == PiecePhase::Fetching)
+                && m.seen.is_none_or(|x| x.phase == TaskPhase::Fetching)
         };
         job.places
             .values()
@@ -131,7 +131,7 @@
             };
             // An answer that is awaited brings it back here; so does the worker's first report.
             let never = m.direct_seq.is_some() || m.endpoint.is_empty() || m.session == Session(0);
-            if never || m.standing != Standing::Up {
+            if never || m.state != MachineState::Up {
                 continue;
             }
             if m.direct_after > now || self.directs >= self.policy.most_direct {
@@ -168,7 +168,7 @@
                 carried.push(key.clone());
             }
         }
-        // Whether a machine that heeds nothing hears us after all is seen by asking it.
+        // Whether a machine that seems deaf hears us after all is seen by asking it.
         if orders.is_empty() && !m.deaf() {
             return;
         }
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -7,9 +7,9 @@
 use super::graph::Label;
 use super::worker_sessions::MAX_LISTED;
 use super::Core;
-use crate::ids::{HostId, JobId, Millis, PieceId, Rig, Site, TeamNo, Try};
+use crate::ids::{Attempt, HostId, JobId, MachineType, Millis, TaskId, TeamNo, Zone};
 use crate::protocol::users::{JobSpec, Shape, Urgency};
-use crate::storage::ledger::{within, Amount, Job, Machine, Standing};
+use crate::storage::ledger::{within, Amount, Job, Machine, MachineState};
 use crate::storage::pages::StartKey;
 use crate::transport::budget::Budget;
 use std::cmp::{Ordering, Reverse};
@@ -49,7 +49,7 @@
 
 /// What a pass works with.
 pub(super) struct Pass {
-    attempt: Try,
+    attempt: Attempt,
     /// What teams use, and what is kept for jobs that their team's limit holds up.
     pub(super) used: Vec<Amount>,
     /// Machines kept for large tasks.
@@ -74,8 +74,8 @@
     amount: Amount,
     class: String,
     spot: bool,
-    site: Option<Site>,
-    rigs: Option<Vec<Rig>>,
+    site: Option<Zone>,
+    rigs: Option<Vec<MachineType>>,
 }
 
 impl Need {
@@ -104,7 +104,7 @@
     fixed: f64,
     room: Amount,
     host: HostId,
-    site: Site,
+    site: Zone,
     whole: Amount,
     listed: usize,
 }
@@ -144,8 +144,8 @@
 impl Core {
     /// Whether a machine may be given new work at all.
     pub(crate) fn usable(&self, m: &Machine, now: Millis) -> bool {
-        m.standing == Standing::Up
-            && m.vouched
+        m.state == MachineState::Up
+            && m.verified
             && !m.deaf()
             && !m.drain
             && m.recall_at.is_none()
@@ -385,7 +385,7 @@
     }
 
     /// Whether a task of the job has run for long enough to say that the job can run.
-    fn proves_itself(&self, now: Millis, id: &JobId, job: &Job) -> bool {
+    fn has_run_long_enough(&self, now: Millis, id: &JobId, job: &Job) -> bool {
         let hosts = job.places.values().flatten();
         let starts = hosts
             .filter_map(|h| self.machines.get(h))
@@ -414,7 +414,7 @@
             return 0;
         }
         let mut could = head.min(job.pending.len() as u32);
-        if !gang && job.mistaken() && !self.proves_itself(now, id, job) {
+        if !gang && job.mistaken() && !self.has_run_long_enough(now, id, job) {
             // Guards against a job submitted with a mistake whose tasks all start and fail again and
             // again, with a write for each and machines rented for all: one task tries, the rest wait
             // for how it fares.
@@ -485,7 +485,7 @@
         }
         let latency = self.graph.label(id) == Label::Latency;
         for (index, host) in plan {
-            let piece = PieceId {
+            let piece = TaskId {
                 job: id.clone(),
                 index,
             };
@@ -550,7 +550,7 @@
     /// free is taken by whatever needs less: those that it could use are held for it.
     fn hold_machines(&self, now: Millis, spec: &JobSpec, pass: &mut Pass) {
         let need = Amount::of(spec);
-        let mut fit: BTreeMap<Option<&Site>, Vec<&HostId>> = BTreeMap::new();
+        let mut fit: BTreeMap<Option<&Zone>, Vec<&HostId>> = BTreeMap::new();
         for m in self
             .indexes
             .spacious
@@ -576,7 +576,7 @@
         spec: &JobSpec,
         job: &Job,
         pass: &Pass,
-    ) -> Vec<Option<Site>> {
+    ) -> Vec<Option<Zone>> {
         if let Some(site) = &spec.site {
             return vec![Some(site.clone())];
         }
@@ -586,7 +586,7 @@
         if let Some(site) = self.zones_of(job).into_keys().next() {
             return vec![Some(site)];
         }
-        let mut fit: BTreeMap<Site, u32> = BTreeMap::new();
+        let mut fit: BTreeMap<Zone, u32> = BTreeMap::new();
         let need = Amount::of(spec);
         for m in self
             .indexes
@@ -599,13 +599,13 @@
                 *fit.entry(m.site.clone()).or_default() += n;
             }
         }
-        let mut sites: Vec<(u32, Site)> = fit.into_iter().map(|(s, n)| (n, s)).collect();
+        let mut sites: Vec<(u32, Zone)> = fit.into_iter().map(|(s, n)| (n, s)).collect();
         sites.sort_by(|a, b| b.cmp(a));
         sites.into_iter().map(|(_, s)| Some(s)).collect()
     }
 
     /// How many tasks of the job may be in each zone, lingering ones included.
-    pub(crate) fn zones_of(&self, job: &Job) -> BTreeMap<Site, u32> {
+    pub(crate) fn zones_of(&self, job: &Job) -> BTreeMap<Zone, u32> {
         let mut zones = BTreeMap::new();
         for host in job.places.values().flatten() {
             if let Some(m) = self.machines.get(host) {
@@ -629,7 +629,7 @@
         id: &JobId,
         spec: &JobSpec,
         pending: &[u32],
-        zone: Option<&Site>,
+        zone: Option<&Zone>,
         pass: &Pass,
     ) -> Vec<(u32, HostId)> {
         let Some(job) = self.jobs.get(id) else {
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -3,15 +3,15 @@
 
 use super::placement::{Pass, Unmet};
 use super::Core;
-use crate::ids::{HostId, JobId, Millis, PieceId, Try};
-use crate::storage::ledger::{Amount, Job, Machine, Start, StopWish};
+use crate::ids::{Attempt, HostId, JobId, Millis, TaskId};
+use crate::storage::ledger::{Amount, Job, Machine, Start, StopRequest};
 use std::collections::BTreeSet;
 
 /// Machines emptied in one look, and one more for each so many that there are: the effect of the
 /// first is seen before the next.
 const MOST_AT_ONCE: usize = 2;
-const MORE_A_MACHINE: usize = 100;
-/// It is looked for ways to make room this often, for so many jobs at a time.
+const MACHINES_PER_EXTRA: usize = 100;
+/// Ways to make room are looked for this often, for so many jobs at a time.
 const LOOK_EVERY: Millis = Millis(200);
 const MOST_JOBS: usize = 24;
 /// A machine emptied for a job is kept for it this long.
@@ -20,14 +20,14 @@
 const WORTH_EMPTYING_S: f64 = 8.0;
 /// Seconds that stopping a task costs beyond saving, if it has only just started: its start was in
 /// vain then.
-const YOUNG_S: f64 = 20.0;
-const YOUNG: Millis = Millis(30_000);
+const RECENT_START_COST_S: f64 = 20.0;
+const RECENT_START: Millis = Millis(30_000);
 
-/// One way to make room.
-struct Way {
+/// The tasks to be stopped on one machine to make room, and what that costs.
+struct Eviction {
     cost_s: f64,
     host: HostId,
-    victims: Vec<(PieceId, Try, f64)>,
+    victims: Vec<(TaskId, Attempt, f64)>,
 }
 
 impl Core {
@@ -39,7 +39,7 @@
         self.last_preempt = now;
         let inside = self.guaranteed();
         let mut emptied = 0;
-        let most = MOST_AT_ONCE + self.machines.len() / MORE_A_MACHINE;
+        let most = MOST_AT_ONCE + self.machines.len() / MACHINES_PER_EXTRA;
         let mut looked = 0;
         for u in unmet {
             if emptied >= most || looked >= MOST_JOBS {
@@ -49,11 +49,11 @@
                 continue;
             }
             looked += 1;
-            let Some(ways) = self.ways(now, &u.job, u.count, &inside) else {
+            let Some(evictions) = self.evictions(now, &u.job, u.count, &inside) else {
                 continue;
             };
-            for way in ways {
-                self.go(now, &u.job, way);
+            for eviction in evictions {
+                self.evict(now, &u.job, eviction);
                 emptied += 1;
             }
         }
@@ -61,13 +61,13 @@
 
     /// The machines to be emptied for a job: one at a time, but for a gang as many as it needs at
     /// once, for fewer would not help. None: enough are being emptied, or there are not enough.
-    fn ways(
+    fn evictions(
         &self,
         now: Millis,
         id: &JobId,
         count: u32,
         inside: &BTreeSet<JobId>,
-    ) -> Option<Vec<Way>> {
+    ) -> Option<Vec<Eviction>> {
         let job = self.jobs.get(id)?;
         let need = Amount::of(&job.spec);
         let kept = |m: &Machine| {
@@ -91,21 +91,21 @@
         if wanted == 0 {
             return None;
         }
-        let mut ways: Vec<Way> = self
+        let mut evictions: Vec<Eviction> = self
             .machines
             .values()
-            .filter_map(|m| self.way(now, m, id, inside))
+            .filter_map(|m| self.eviction(now, m, id, inside))
             .collect();
-        if (ways.len() as u32) < wanted {
+        if (evictions.len() as u32) < wanted {
             return None;
         }
-        ways.sort_by(|a, b| {
+        evictions.sort_by(|a, b| {
             a.cost_s
                 .total_cmp(&b.cost_s)
                 .then_with(|| a.host.cmp(&b.host))
         });
-        ways.truncate(wanted as usize);
-        Some(ways)
+        evictions.truncate(wanted as usize);
+        Some(evictions)
     }
 
     /// Whether a job leaves the room there is, because machines that have its image can be had sooner than
@@ -127,11 +127,11 @@
             return false;
         }
         pass.looked_for_image += 1;
-        let Some(ways) = self.ways_to_image(now, id) else {
+        let Some(evictions) = self.evictions_for_image(now, id) else {
             return false;
         };
-        for way in ways {
-            self.go(now, id, way);
+        for eviction in evictions {
+            self.evict(now, id, eviction);
         }
         true
     }
@@ -153,7 +153,7 @@
     }
 
     /// The machines with the job's image to be emptied for it, if that gains time: all that it needs, or none.
-    fn ways_to_image(&self, now: Millis, id: &JobId) -> Option<Vec<Way>> {
+    fn evictions_for_image(&self, now: Millis, id: &JobId) -> Option<Vec<Eviction>> {
         let job = self.jobs.get(id)?;
         let spec = &job.spec;
         let fetch_s = self.shortest_fetch_s(spec);
@@ -171,24 +171,25 @@
         let wanted = job.pending.len();
         // Only less urgent work goes: nothing is inside a guarantee for this.
         let nobody = BTreeSet::new();
-        let mut ways: Vec<Way> = here()
-            .filter_map(|m| self.way(now, m, id, &nobody))
-            .filter(|way| {
-                way.victims
+        let mut evictions: Vec<Eviction> = here()
+            .filter_map(|m| self.eviction(now, m, id, &nobody))
+            .filter(|eviction| {
+                eviction
+                    .victims
                     .iter()
                     .all(|(_, _, grace_s)| *grace_s < fetch_s / 2.0)
             })
             .collect();
-        if ways.len() < wanted {
+        if evictions.len() < wanted {
             return None;
         }
-        ways.sort_by(|a, b| {
+        evictions.sort_by(|a, b| {
             a.cost_s
                 .total_cmp(&b.cost_s)
                 .then_with(|| a.host.cmp(&b.host))
         });
-        ways.truncate(wanted);
-        Some(ways)
+        evictions.truncate(wanted);
+        Some(evictions)
     }
 
     /// Whether anything may be stopped for the job at all.
@@ -220,7 +221,13 @@
         waited + rental > within || !self.may_rent(now, spec)
     }
 
-    fn way(&self, now: Millis, m: &Machine, id: &JobId, inside: &BTreeSet<JobId>) -> Option<Way> {
+    fn eviction(
+        &self,
+        now: Millis,
+        m: &Machine,
+        id: &JobId,
+        inside: &BTreeSet<JobId>,
+    ) -> Option<Eviction> {
         let job = self.jobs.get(id)?;
         let spec = &job.spec;
         let need = Amount::of(spec);
@@ -248,7 +255,11 @@
                 let other = &other.spec;
                 let save = other.checkpoint_s > 0.0;
                 let ran = s.running_since.map_or(0.0, |t| (now - t).secs());
-                let young = if now - s.since < YOUNG { YOUNG_S } else { 0.0 };
+                let young = if now - s.since < RECENT_START {
+                    RECENT_START_COST_S
+                } else {
+                    0.0
+                };
                 let cost = (young + if save { other.save_s } else { ran }) * members;
                 let grace = if save { other.save_s + 2.0 } else { 0.0 };
                 may.then_some((cost, s, grace))
@@ -266,7 +277,7 @@
             cost_s += cost;
             chosen.push((s.piece.clone(), s.attempt, grace));
         }
-        (need.fits(&room) && !chosen.is_empty()).then(|| Way {
+        (need.fits(&room) && !chosen.is_empty()).then(|| Eviction {
             cost_s,
             host: m.id.clone(),
             victims: chosen,
@@ -303,21 +314,21 @@
             && borrowed()
     }
 
-    fn go(&mut self, now: Millis, id: &JobId, way: Way) {
-        tracing::debug!(job = %id, host = %way.host, tasks = way.victims.len(), cost_s = way.cost_s, "making room");
-        let Some(m) = self.machines.get_mut(&way.host) else {
+    fn evict(&mut self, now: Millis, id: &JobId, eviction: Eviction) {
+        tracing::debug!(job = %id, host = %eviction.host, tasks = eviction.victims.len(), cost_s = eviction.cost_s, "making room");
+        let Some(m) = self.machines.get_mut(&eviction.host) else {
             return;
         };
         m.kept_for = Some((id.clone(), now + KEPT));
-        for (piece, attempt, grace_s) in way.victims {
+        for (piece, attempt, grace_s) in eviction.victims {
             if let Some(s) = m.starts.get_mut(&(piece, attempt)) {
-                s.stop = Some(StopWish {
+                s.stop = Some(StopRequest {
                     grace_s,
                     sent_direct: false,
                 });
             }
         }
-        self.to_review.insert(way.host.clone());
-        self.direct_due.insert(way.host);
+        self.to_review.insert(eviction.host.clone());
+        self.direct_due.insert(eviction.host);
     }
 }
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -10,9 +10,9 @@
 use super::writer::Writer;
 use super::{Core, Policy};
 use crate::ids::{HostId, Millis, Stamp};
-use crate::protocol::cloud::RigInfo;
+use crate::protocol::cloud::MachineTypeInfo;
 use crate::protocol::state::Item;
-use crate::storage::ledger::{Amount, Machine, Standing};
+use crate::storage::ledger::{Amount, Machine, MachineState};
 use crate::storage::pages::StartKey;
 use crate::storage::records::{
     parse_page, parse_progress_key, HostsPage, IntentsPage, OpenRecord, HOSTS, INTENTS,
@@ -27,7 +27,7 @@
     pub progress: Vec<Item>,
     pub intents: Vec<Item>,
     pub hosts: Vec<Item>,
-    pub rigs: Vec<RigInfo>,
+    pub rigs: Vec<MachineTypeInfo>,
     pub hints: Option<Item>,
     /// The time of day at the steady clock's zero, in milliseconds.
     pub day_ms: u64,
@@ -134,7 +134,7 @@
         };
         let open = self.jobs.get_mut(&id).filter(|j| !j.over);
         let Some(job) = open else {
-            self.writer.litter.insert(item.key, item.stamp);
+            self.writer.orphaned_progress.insert(item.key, item.stamp);
             return;
         };
         if let Some(text) = item.data.as_str() {
@@ -185,7 +185,7 @@
             m.page = Some(page);
             m.noted = true;
             if note.2 {
-                m.standing = Standing::Up;
+                m.state = MachineState::Up;
             }
             m.images = note
                 .3
@@ -211,7 +211,7 @@
                 continue;
             };
             // It had been given work: its worker has reported.
-            m.standing = Standing::Up;
+            m.state = MachineState::Up;
             let key = (piece.clone(), attempt);
             let known = self.machines.get(&host);
             if known.is_some_and(|m| m.starts.contains_key(&key)) {
--- a/src/coordination/starts.rs
+++ b/src/coordination/starts.rs
@@ -3,9 +3,9 @@
 //! tests.
 
 use super::Core;
-use crate::ids::{HostId, JobId, Millis, PieceId, TeamNo, Try};
+use crate::ids::{Attempt, HostId, JobId, Millis, TaskId, TeamNo};
 use crate::protocol::users::JobSpec;
-use crate::storage::ledger::{Amount, Machine, Seen, Standing, Start};
+use crate::storage::ledger::{Amount, Machine, MachineState, Seen, Start};
 use crate::storage::pages::StartKey;
 use std::collections::BTreeSet;
 
@@ -83,7 +83,7 @@
         &mut self,
         now: Millis,
         host: &HostId,
-        key: &(PieceId, Try),
+        key: &(TaskId, Attempt),
         seen: Seen,
     ) {
         let fetch_s = self.longest_fetch_s(host, &key.0.job);
@@ -98,8 +98,7 @@
         let fetched = s.since + Millis::from_secs(fetch_s);
         let running_since = if s.inherited { fetched.min(now) } else { now };
         s.seen = Some(seen);
-        if seen.phase == crate::protocol::workers::PiecePhase::Running && s.running_since.is_none()
-        {
+        if seen.phase == crate::protocol::workers::TaskPhase::Running && s.running_since.is_none() {
             s.running_since = Some(running_since);
         }
         let (on, runs) = (!s.ended(), s.runs());
@@ -120,12 +119,12 @@
         }
     }
 
-    /// Takes a start off the ledger. Only `vanish` does this, for only proofs may.
+    /// Takes a start off the ledger. Only `remove_start` does this, for only proofs may.
     pub(crate) fn take_start(
         &mut self,
         now: Millis,
         host: &HostId,
-        key: &(PieceId, Try),
+        key: &(TaskId, Attempt),
     ) -> Option<Start> {
         let m = self.machines.get_mut(host)?;
         let s = m.starts.remove(key)?;
@@ -199,7 +198,9 @@
     fn has_room(&self, m: &Machine) -> bool {
         let whole = self.capacity(&m.rig);
         let some = |free: f64, whole: f64| whole <= 0.0 || free > 1e-6;
-        m.standing == Standing::Up && some(m.free.gpus, whole.gpus) && some(m.free.cpus, whole.cpus)
+        m.state == MachineState::Up
+            && some(m.free.gpus, whole.gpus)
+            && some(m.free.cpus, whole.cpus)
     }
 
     /// The machine types have changed: what is free follows.
@@ -302,8 +303,8 @@
     pub(crate) fn new_start(
         &self,
         host: &HostId,
-        piece: PieceId,
-        attempt: Try,
+        piece: TaskId,
+        attempt: Attempt,
         now: Millis,
     ) -> Start {
         // Something of which we know nothing may take everything.
--- a/src/coordination/stops.rs
+++ b/src/coordination/stops.rs
@@ -3,8 +3,8 @@
 
 use super::Core;
 use crate::ids::{HostId, Millis};
-use crate::protocol::workers::{Order, PiecePhase};
-use crate::storage::ledger::{Machine, Start, StopWish};
+use crate::protocol::workers::{Order, TaskPhase};
+use crate::storage::ledger::{Machine, Start, StopRequest};
 use std::collections::BTreeSet;
 
 impl Core {
@@ -63,7 +63,7 @@
                 }
                 _ => 0.0,
             };
-            s.stop = Some(StopWish {
+            s.stop = Some(StopRequest {
                 grace_s,
                 sent_direct: false,
             });
@@ -77,7 +77,7 @@
         }
         for key in dropped {
             // Proof: never launched.
-            self.vanish(now, host, &key);
+            self.remove_start(now, host, &key);
         }
     }
 
@@ -107,7 +107,7 @@
             let fetches = |m: &Machine| {
                 m.going().any(|s| {
                     let seen = s.seen.map(|x| x.phase);
-                    s.piece.job == id && seen == Some(PiecePhase::Fetching)
+                    s.piece.job == id && seen == Some(TaskPhase::Fetching)
                 })
             };
             let fetching = hosts
@@ -132,7 +132,7 @@
                 }
                 for s in m.starts.values_mut() {
                     if s.piece.job == id && !s.ended() && s.stop.is_none() {
-                        s.stop = Some(StopWish {
+                        s.stop = Some(StopRequest {
                             grace_s,
                             sent_direct: false,
                         });
@@ -160,7 +160,7 @@
 
     pub(super) fn stop_order(s: &Start, now: Millis) -> Option<Order> {
         let wish = s.stop?;
-        let saving = s.seen.filter(|x| x.phase == PiecePhase::Saving);
+        let saving = s.seen.filter(|x| x.phase == TaskPhase::Saving);
         let grace_s = match saving {
             Some(x) if (now - x.since).secs() <= wish.grace_s => return None,
             Some(_) => 0.0,
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -1,16 +1,16 @@
 //! Sessions with workers: which message is newer, what a report proves, which orders to send.
 //!
-//! A start leaves the ledger only by one of the proofs of docs/SAFETY.md; `vanish` is the one place
+//! A start leaves the ledger only by one of the proofs of docs/SAFETY.md; `remove_start` is the one place
 //! where that happens, and each caller names its proof.
 
 use super::{Core, Effect};
-use crate::ids::{HostId, JobId, Millis, PieceId, Session, Try};
-use crate::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
-use crate::storage::ledger::{DirectCarrier, Seen, Standing, Start, UNHEEDED};
+use crate::ids::{Attempt, HostId, JobId, Millis, Session, TaskId};
+use crate::protocol::workers::{Cause, Order, Report, TaskPhase, TaskReport};
+use crate::storage::ledger::{DirectCarrier, MachineState, Seen, Start, DEAF_AFTER_REPLIES};
 
 /// How a report came.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Way {
+enum ReportChannel {
     CheckIn,
     Direct,
 }
@@ -19,7 +19,7 @@
 const DIRECT_PAUSE: Millis = Millis(3000);
 /// A launch whose direct command was never answered, and which hasn't shown up either, keeps its
 /// place for this long before the whole machine is given up.
-const LOST_PATIENCE: Millis = Millis(45_000);
+const LOST_LAUNCH_TIMEOUT: Millis = Millis(45_000);
 /// Errors of one job on several machines make it wait, doubling, between these.
 const JOB_BACKOFF: (Millis, Millis) = (Millis(2000), Millis(60_000));
 /// Starts on one machine, tombstones included: keeps its reports well under 64 KiB.
@@ -58,14 +58,14 @@
             tracing::debug!(host = %report.host, "a late copy of a report");
             return CheckInAnswer::Refuse;
         }
-        let fresh = self.take_report(now, report, Way::CheckIn);
+        let fresh = self.take_report(now, report, ReportChannel::CheckIn);
         let token = self.lead.token;
         let Some(m) = self.machines.get_mut(&report.host) else {
             return CheckInAnswer::Refuse;
         };
         m.checked_in = place;
         m.reported = Some(now);
-        if m.shunned {
+        if m.lease_withheld {
             // Its lease is to run out: that is the proof that frees its tasks.
             return CheckInAnswer::Refuse;
         }
@@ -99,9 +99,9 @@
         // Answered: executed, or certainly not. Either way it no longer is under way, and what the
         // report lists is what came of it.
         self.settle_direct(host, seq, DirectCarrier::None);
-        self.take_report(now, report, Way::Direct);
+        self.take_report(now, report, ReportChannel::Direct);
         if let Some(m) = self.machines.get_mut(host) {
-            m.heeds();
+            m.mark_responsive();
         }
     }
 
@@ -142,11 +142,11 @@
     }
 
     /// Takes a report in; false if it was no news. The list of an old report proves nothing.
-    fn take_report(&mut self, now: Millis, r: &Report, way: Way) -> bool {
+    fn take_report(&mut self, now: Millis, r: &Report, channel: ReportChannel) -> bool {
         let host = &r.host;
         if !self.machines.contains_key(host) {
             tracing::info!(host = %r.host, rig = %r.rig, "a machine reports that was not known");
-            // Not vouched for: this may be a late copy of a report of a machine long returned. It is
+            // Not verified: this may be a late copy of a report of a machine long returned. It is
             // given work once it has shown our token.
             self.enter_machine(now, host, &r.rig, &r.site, r.spot, now, false);
         }
@@ -157,8 +157,8 @@
         if (r.session, r.tick) <= (m.session, m.tick) {
             return false;
         }
-        if m.standing == Standing::Booting {
-            m.standing = Standing::Up;
+        if m.state == MachineState::Booting {
+            m.state = MachineState::Up;
             m.idle_since = Some(now);
             tracing::debug!(host = %m.id, boot_ms = (now - m.since).0, "machine is up");
             self.dirty = true;
@@ -176,11 +176,11 @@
         }
         let ended_session = r.session > m.session;
         if r.token > m.shown && r.token >= first {
-            m.heeds();
+            m.mark_responsive();
         }
         if ended_session && m.session > Session(0) && now - m.answered < self.policy.lease_over() {
             // Its lease ran out although we answered: nothing that we say reaches it.
-            m.unheeded = UNHEEDED;
+            m.ignored_replies = DEAF_AFTER_REPLIES;
         }
         if ended_session {
             m.session_seen = now;
@@ -200,19 +200,19 @@
         m.shown = m.shown.max(r.token);
         if confirmed && !m.confirmed {
             m.confirmed = true;
-            m.heeds();
+            m.mark_responsive();
             self.dirty = true;
             self.index_machine(host);
         }
         for p in &r.pieces {
             self.see(now, host, p, r, confirmed);
         }
-        self.see_absent(now, r, way, ended_session, confirmed);
+        self.see_absent(now, r, channel, ended_session, confirmed);
         true
     }
 
     /// A start that a report lists.
-    fn see(&mut self, now: Millis, host: &HostId, p: &PieceReport, r: &Report, confirmed: bool) {
+    fn see(&mut self, now: Millis, host: &HostId, p: &TaskReport, r: &Report, confirmed: bool) {
         let key = (p.piece.clone(), p.attempt);
         let Some(m) = self.machines.get_mut(host) else {
             return;
@@ -227,7 +227,7 @@
             let mut s = self.new_start(host, p.piece.clone(), p.attempt, now);
             s.inherited = true;
             self.put_start(host, s);
-            if p.phase != PiecePhase::Ended {
+            if p.phase != TaskPhase::Ended {
                 self.add_place(host, &p.piece);
             }
         }
@@ -246,7 +246,7 @@
         }
         let before = s.seen;
         if before.is_none() && s.launched_in == Some(r.session) {
-            m.heeds();
+            m.mark_responsive();
         }
         let since = match before {
             Some(b) if b.phase == p.phase => b.since,
@@ -270,7 +270,7 @@
             _ => self.see_start(now, host, &key, seen),
         }
         let was = before.map(|b| b.phase);
-        if p.phase == PiecePhase::Waiting && was != Some(PiecePhase::Waiting) {
+        if p.phase == TaskPhase::Waiting && was != Some(TaskPhase::Waiting) {
             // It has its image; members that had theirs at once may be launched now.
             self.note_image(now, host, &p.piece.job);
             if let Some(job) = self.jobs.get(&p.piece.job) {
@@ -278,11 +278,11 @@
                     .extend(job.places.values().flatten().cloned());
             }
         }
-        if p.phase == PiecePhase::Running && was != Some(PiecePhase::Running) {
+        if p.phase == TaskPhase::Running && was != Some(TaskPhase::Running) {
             tracing::debug!(piece = %p.piece, host = %host, "runs");
             self.note_image(now, host, &p.piece.job);
         }
-        if p.phase == PiecePhase::Ended && was != Some(PiecePhase::Ended) {
+        if p.phase == TaskPhase::Ended && was != Some(TaskPhase::Ended) {
             self.ended(now, host, &key, p.cause.unwrap_or(Cause::Error));
         }
     }
@@ -304,7 +304,7 @@
         &mut self,
         now: Millis,
         r: &Report,
-        way: Way,
+        channel: ReportChannel,
         ended_session: bool,
         confirmed: bool,
     ) {
@@ -313,10 +313,10 @@
             return;
         };
         let mut gone = Vec::new();
-        let mut unheeded = m.told > r.token;
+        let mut ignored_replies = m.told > r.token;
         for (key, s) in m.starts.iter_mut() {
             let listed = s.seen.is_some_and(|x| x.at == (r.session, r.tick));
-            let settled = way == Way::CheckIn
+            let settled = channel == ReportChannel::CheckIn
                 && s.checkin_carrier
                     .is_some_and(|t| t < r.tick || ended_session);
             if settled {
@@ -327,7 +327,7 @@
             if listed || s.untouched() {
                 continue;
             }
-            unheeded |= settled;
+            ignored_replies |= settled;
             if ended_session && !s.inherited {
                 // Proof 2: launched in an earlier session, whose tasks are all killed and forgotten
                 // and whose launches no longer match.
@@ -352,10 +352,10 @@
                 gone.push(key.clone());
             }
         }
-        if way == Way::CheckIn && unheeded {
-            m.unheeded += 1;
+        if channel == ReportChannel::CheckIn && ignored_replies {
+            m.ignored_replies += 1;
             if m.deaf() && m.deaf_since.is_none() {
-                tracing::info!(host = %host, "reports, but heeds nothing that we say");
+                tracing::info!(host = %host, "reports, but nothing that we say reaches it");
                 m.deaf_since = Some(now);
                 self.direct_due.insert(host.clone());
             }
@@ -374,15 +374,19 @@
                 self.direct_due.insert(host.clone());
                 continue;
             }
-            self.vanish(now, host, &key);
+            self.remove_start(now, host, &key);
         }
     }
 
-    pub(crate) fn start_mut(&mut self, host: &HostId, key: &(PieceId, Try)) -> Option<&mut Start> {
+    pub(crate) fn start_mut(
+        &mut self,
+        host: &HostId,
+        key: &(TaskId, Attempt),
+    ) -> Option<&mut Start> {
         self.machines.get_mut(host)?.starts.get_mut(key)
     }
 
-    pub(crate) fn add_place(&mut self, host: &HostId, piece: &PieceId) {
+    pub(crate) fn add_place(&mut self, host: &HostId, piece: &TaskId) {
         if let Some(job) = self.jobs.get_mut(&piece.job) {
             let places = job.places.entry(piece.index).or_default();
             if !places.contains(host) {
@@ -394,10 +398,10 @@
     }
 
     /// The piece no longer is on that machine (ended there, or proven gone).
-    fn drop_place(&mut self, host: &HostId, piece: &PieceId) {
+    fn drop_place(&mut self, host: &HostId, piece: &TaskId) {
         // Another try of the same task may be on this machine.
         let still = self.machines.get(host).is_some_and(|m| {
-            let tries = (piece.clone(), Try(0))..=(piece.clone(), Try(u64::MAX));
+            let tries = (piece.clone(), Attempt(0))..=(piece.clone(), Attempt(u64::MAX));
             m.starts.range(tries).any(|(_, s)| !s.ended())
         });
         self.dirty = true;
@@ -423,7 +427,7 @@
     }
 
     /// A start ended on its machine. It stays there as a tombstone until cleared.
-    fn ended(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try), cause: Cause) {
+    fn ended(&mut self, now: Millis, host: &HostId, key: &(TaskId, Attempt), cause: Cause) {
         let (piece, _) = key;
         let lease = Millis::from_secs(self.policy.facts.workers.lease_s);
         tracing::debug!(piece = %piece, host = %host, cause = ?cause, "ended");
@@ -477,7 +481,7 @@
     }
 
     /// A task failed: mostly the machine is faulty, but a job may be.
-    fn failed(&mut self, now: Millis, host: &HostId, piece: &PieceId) {
+    fn failed(&mut self, now: Millis, host: &HostId, piece: &TaskId) {
         let most = self.policy.operator.sick_errors as usize;
         let Some(job) = self.jobs.get_mut(&piece.job) else {
             return;
@@ -496,7 +500,7 @@
             // of the first machines that it failed on are taken back.
             for host in &failed_on {
                 if let Some(m) = self.machines.get_mut(host) {
-                    m.pardon(&piece.job, most);
+                    m.forget_failures_of(&piece.job, most);
                 }
                 self.index_machine(host);
             }
@@ -515,7 +519,7 @@
     }
 
     /// A start is proven gone. Callers name the proof.
-    pub(crate) fn vanish(&mut self, now: Millis, host: &HostId, key: &(PieceId, Try)) {
+    pub(crate) fn remove_start(&mut self, now: Millis, host: &HostId, key: &(TaskId, Attempt)) {
         let Some(s) = self.take_start(now, host, key) else {
             return;
         };
@@ -550,7 +554,7 @@
             .collect();
         for key in keys {
             // Proof: never launched. If its intent is being written, that only errs on the safe side.
-            self.vanish(now, host, &key);
+            self.remove_start(now, host, &key);
         }
     }
 
@@ -561,7 +565,7 @@
         };
         let keys: Vec<_> = m.starts.keys().cloned().collect();
         for key in keys {
-            self.vanish(now, host, &key);
+            self.remove_start(now, host, &key);
         }
     }
 
@@ -571,7 +575,7 @@
         let lease_over = self.policy.lease_over();
         let quiet = self.machines.values().filter(|m| !m.starts.is_empty());
         let quiet = quiet.filter(|m| now - m.answered.max(self.began) > lease_over);
-        let over: Vec<(HostId, (PieceId, Try))> = quiet
+        let over: Vec<(HostId, (TaskId, Attempt))> = quiet
             .flat_map(|m| {
                 let gone = |s: &&Start| now - m.lease_from(s).max(self.began) > lease_over;
                 let key = |s: &Start| (m.id.clone(), (s.piece.clone(), s.attempt));
@@ -583,7 +587,7 @@
             // session that the start belongs to is older than that too. Starts that were never
             // launched stay planned no longer either.
             tracing::info!(host = %host, piece = %key.0, "lease over: the task is gone");
-            self.vanish(now, &host, &key);
+            self.remove_start(now, &host, &key);
         }
         let patience = self.policy.silence();
         let mut given_up = Vec::new();
@@ -591,7 +595,7 @@
             let unaccounted = |s: &Start| {
                 matches!(s.direct, DirectCarrier::Lost(..))
                     && s.seen.is_none()
-                    && now - s.since > LOST_PATIENCE
+                    && now - s.since > LOST_LAUNCH_TIMEOUT
             };
             if !m.drain && m.starts.values().any(unaccounted) {
                 tracing::info!(host = %m.id, "a launch stays unaccounted for: giving the machine up");
@@ -601,9 +605,9 @@
             // Guards against a machine whose reports reach us but which nothing reaches: each of
             // its reports would renew the clock of its lease for us, though not for it, and a task
             // that may be on it would be held for ever. So it is answered no more.
-            if !m.shunned && m.deaf() && m.deaf_since.is_some_and(|t| now - t > patience) {
-                tracing::info!(host = %m.id, "heeds nothing: answered no more, and given up");
-                m.shunned = true;
+            if !m.lease_withheld && m.deaf() && m.deaf_since.is_some_and(|t| now - t > patience) {
+                tracing::info!(host = %m.id, "nothing reaches it: answered no more, and given up");
+                m.lease_withheld = true;
                 m.start_drain(now);
                 given_up.push(m.id.clone());
             }
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -7,11 +7,11 @@
 mod outcomes;
 
 use super::{Core, Effect};
-use crate::ids::{HostId, Image, JobId, Millis, PageNo, Rig, Site, Stamp, Token};
+use crate::ids::{HostId, Image, JobId, MachineType, Millis, PageNo, Stamp, Token, Zone};
 use crate::protocol::state::{Change, Guard, Txn};
 use crate::protocol::users::JobPhase;
 use crate::settings::StateLimits;
-use crate::storage::ledger::{DirectCarrier, Job, Machine, Standing, Start};
+use crate::storage::ledger::{DirectCarrier, Job, Machine, MachineState, Start};
 use crate::storage::pages::{HostPages, IntentPages, Measure, StartKey};
 use crate::storage::records::{
     final_key, hosts_key, intents_key, open_key, progress_key, FinalRecord, HostNote, HostsPage,
@@ -80,7 +80,7 @@
     pub(crate) progress: BTreeMap<(JobId, u32), Stamp>,
     progress_at: Millis,
     /// Progress records of jobs that are over.
-    pub(crate) litter: BTreeMap<String, Stamp>,
+    pub(crate) orphaned_progress: BTreeMap<String, Stamp>,
     /// The version of the hints, when they were last written, and whether there is news.
     pub(crate) hints: Stamp,
     hints_at: Millis,
@@ -128,7 +128,7 @@
             hosts: HostPages::new(most),
             progress: BTreeMap::new(),
             progress_at: Millis(0),
-            litter: BTreeMap::new(),
+            orphaned_progress: BTreeMap::new(),
             hints: Stamp(0),
             hints_at: Millis(0),
             hints_news: false,
@@ -341,7 +341,7 @@
 
     fn hosts_page_with(&self, hosts: &BTreeSet<HostId>, most_images: usize) -> serde_json::Value {
         let mut page = HostsPage::default();
-        let mut kinds: BTreeMap<(Rig, Site, bool), usize> = BTreeMap::new();
+        let mut kinds: BTreeMap<(MachineType, Zone, bool), usize> = BTreeMap::new();
         let mut images: BTreeMap<Image, usize> = BTreeMap::new();
         for m in hosts.iter().filter_map(|h| self.machines.get(h)) {
             let kind = (m.rig.clone(), m.site.clone(), m.spot);
@@ -359,7 +359,7 @@
                 })
                 .collect();
             let rented_s = self.day_ms.saturating_add_signed(m.since.0) / 1000;
-            let up = m.standing != Standing::Booting;
+            let up = m.state != MachineState::Booting;
             page.hosts
                 .insert(m.id.clone(), HostNote(kind, rented_s, up, held));
         }
@@ -558,7 +558,7 @@
 
     /// Records that say more than is true: harmless, so they wait for a quiet moment.
     fn draft_sweeping(&self, now: Millis, draft: &mut Draft) {
-        for (key, stamp) in &self.writer.litter {
+        for (key, stamp) in &self.writer.orphaned_progress {
             let apply = vec![Change::Delete {
                 delete: key.clone(),
             }];
--- a/src/coordination/writer/outcomes.rs
+++ b/src/coordination/writer/outcomes.rs
@@ -47,7 +47,7 @@
                     if let Some(j) = self.jobs.get_mut(&job) {
                         j.unsaved.retain(|i| !tasks.contains(i));
                         if j.over {
-                            self.litter_of(&job);
+                            self.collect_orphaned_progress(&job);
                         }
                         self.index_job(&job);
                     }
@@ -55,10 +55,10 @@
                 Work::Finish { job } => {
                     tracing::debug!(job = %job, "done");
                     self.job_closed(now, &job);
-                    self.litter_of(&job);
+                    self.collect_orphaned_progress(&job);
                 }
                 Work::DropProgress { key } => {
-                    self.writer.litter.remove(&key);
+                    self.writer.orphaned_progress.remove(&key);
                 }
                 Work::Hints => {
                     self.writer.hints = stamp;
@@ -99,7 +99,7 @@
     }
 
     /// Progress records of a job that is over are swept when there is time.
-    pub(crate) fn litter_of(&mut self, id: &JobId) {
+    pub(crate) fn collect_orphaned_progress(&mut self, id: &JobId) {
         let keys: Vec<(JobId, u32)> = self
             .writer
             .progress
@@ -109,7 +109,9 @@
             .collect();
         for k in keys {
             if let Some(stamp) = self.writer.progress.remove(&k) {
-                self.writer.litter.insert(progress_key(&k.0, k.1), stamp);
+                self.writer
+                    .orphaned_progress
+                    .insert(progress_key(&k.0, k.1), stamp);
             }
         }
     }
@@ -174,9 +176,9 @@
             } else if let Some(page) = parse_page(&key, HOSTS) {
                 self.writer.hosts.reread(now, page, stamp);
             } else if let Some((job, chunk)) = parse_progress_key(&key) {
-                if self.writer.litter.remove(&key).is_some() {
+                if self.writer.orphaned_progress.remove(&key).is_some() {
                     if stamp != Stamp(0) {
-                        self.writer.litter.insert(key, stamp);
+                        self.writer.orphaned_progress.insert(key, stamp);
                     }
                 } else {
                     self.writer.progress.insert((job, chunk), stamp);
@@ -190,7 +192,7 @@
         let id = JobId::from(id);
         if stamp == Stamp(0) {
             self.job_closed(now, &id);
-            self.litter_of(&id);
+            self.collect_orphaned_progress(&id);
         } else if let Some(job) = self.jobs.get_mut(&id) {
             job.stamp = stamp;
         }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -57,7 +57,7 @@
 number!(/// Orders a worker's messages within a session.
     Tick);
 number!(/// Tells one start of a task from another; never used twice for a task.
-    Try);
+    Attempt);
 number!(/// The version of one key on the state service; 0 means absent.
     Stamp);
 number!(/// The revision of the whole state service.
@@ -103,9 +103,9 @@
 name!(/// A rented machine.
     HostId);
 name!(/// A machine type.
-    Rig);
+    MachineType);
 name!(/// A zone.
-    Site);
+    Zone);
 name!(/// An image that tasks need.
     Image);
 
@@ -121,39 +121,39 @@
 
 /// One task of a job, written `wk-000412/3`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct PieceId {
+pub struct TaskId {
     /// The job.
     pub job: JobId,
     /// The task's number within the job, from 0.
     pub index: u32,
 }
 
-impl PieceId {
+impl TaskId {
     /// Reads the wire form.
-    pub fn parse(s: &str) -> Option<PieceId> {
+    pub fn parse(s: &str) -> Option<TaskId> {
         let (job, index) = s.rsplit_once('/')?;
-        Some(PieceId {
+        Some(TaskId {
             job: JobId::parse(job)?,
             index: index.parse().ok()?,
         })
     }
 }
 
-impl fmt::Display for PieceId {
+impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/{}", self.job, self.index)
     }
 }
 
-impl Serialize for PieceId {
+impl Serialize for TaskId {
     fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
         s.collect_str(self)
     }
 }
 
-impl<'de> Deserialize<'de> for PieceId {
+impl<'de> Deserialize<'de> for TaskId {
     fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
         let s = String::deserialize(d)?;
-        PieceId::parse(&s).ok_or_else(|| serde::de::Error::custom("not a task id"))
+        TaskId::parse(&s).ok_or_else(|| serde::de::Error::custom("not a task id"))
     }
 }
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -1,13 +1,13 @@
 //! Controllers -> cloud.
 
-use crate::ids::{HostId, Rig, Site};
+use crate::ids::{HostId, MachineType, Zone};
 use serde::{Deserialize, Serialize};
 
 /// A machine type.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RigInfo {
+pub struct MachineTypeInfo {
     #[serde(rename = "sku")]
-    pub name: Rig,
+    pub name: MachineType,
     pub cpus: f64,
     #[serde(default)]
     pub gpus: f64,
@@ -23,21 +23,21 @@
     pub spot_price: f64,
     #[serde(rename = "bootS", default)]
     pub boot_s: f64,
-    pub sites: Vec<Site>,
+    pub sites: Vec<Zone>,
 }
 
 /// The answer of `GET /machine_types`; also kept under one key on the state service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RigList {
-    pub rigs: Vec<RigInfo>,
+pub struct MachineTypeList {
+    pub rigs: Vec<MachineTypeInfo>,
 }
 
 /// A request to rent; `hire` is never reused for anything else.
 #[derive(Clone, Debug, Serialize)]
 pub struct RentRequest {
     pub hire: String,
-    pub rig: Rig,
-    pub site: Site,
+    pub rig: MachineType,
+    pub site: Zone,
     #[serde(rename = "loaners")]
     pub spot: bool,
     #[serde(rename = "number")]
@@ -73,8 +73,8 @@
     pub id: HostId,
     #[serde(default)]
     pub endpoint: String,
-    pub rig: Rig,
-    pub site: Site,
+    pub rig: MachineType,
+    pub site: Zone,
     #[serde(rename = "loaners", default)]
     pub spot: bool,
     pub phase: CloudPhase,
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -1,6 +1,6 @@
 //! Users -> controllers: submissions, polls and cancellations.
 
-use crate::ids::{Image, JobId, Rig, Site};
+use crate::ids::{Image, JobId, MachineType, Zone};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -48,9 +48,9 @@
     #[serde(rename = "pullGb")]
     pub image_gb: f64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub rigs: Option<Vec<Rig>>,
+    pub rigs: Option<Vec<MachineType>>,
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub site: Option<Site>,
+    pub site: Option<Zone>,
     pub together: bool,
     pub scatter: bool,
     #[serde(rename = "loaners")]
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -1,6 +1,6 @@
 //! Workers <-> controllers: reports and orders.
 
-use crate::ids::{HostId, PieceId, Rig, Session, Site, Tick, Token, Try};
+use crate::ids::{Attempt, HostId, MachineType, Session, TaskId, Tick, Token, Zone};
 use serde::{Deserialize, Serialize};
 
 /// What a worker says of itself, in check-ins and in the answers of `/commands` and `/inspect`.
@@ -8,8 +8,8 @@
 pub struct Report {
     pub host: HostId,
     pub endpoint: String,
-    pub rig: Rig,
-    pub site: Site,
+    pub rig: MachineType,
+    pub site: Zone,
     #[serde(rename = "loaners", default)]
     pub spot: bool,
     #[serde(rename = "tenure")]
@@ -20,16 +20,16 @@
     #[serde(rename = "recallS", default)]
     pub recall_s: Option<f64>,
     #[serde(default)]
-    pub pieces: Vec<PieceReport>,
+    pub pieces: Vec<TaskReport>,
 }
 
 /// One task on a machine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct PieceReport {
-    pub piece: PieceId,
+pub struct TaskReport {
+    pub piece: TaskId,
     #[serde(rename = "try")]
-    pub attempt: Try,
-    pub phase: PiecePhase,
+    pub attempt: Attempt,
+    pub phase: TaskPhase,
     #[serde(default)]
     pub cause: Option<Cause>,
     #[serde(default)]
@@ -39,7 +39,7 @@
 /// How far a task is. Unknown phases count as present and running: the careful reading.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum PiecePhase {
+pub enum TaskPhase {
     #[serde(rename = "pulling")]
     Fetching,
     Waiting,
@@ -73,21 +73,21 @@
 #[serde(tag = "verb", rename_all = "lowercase")]
 pub enum Order {
     Launch {
-        piece: PieceId,
+        piece: TaskId,
         #[serde(rename = "try")]
-        attempt: Try,
+        attempt: Attempt,
     },
     Stop {
-        piece: PieceId,
+        piece: TaskId,
         #[serde(rename = "try")]
-        attempt: Try,
+        attempt: Attempt,
         #[serde(rename = "windDownS")]
         grace_s: f64,
     },
     Clear {
-        piece: PieceId,
+        piece: TaskId,
         #[serde(rename = "try")]
-        attempt: Try,
+        attempt: Attempt,
     },
 }
 
@@ -101,7 +101,7 @@
 
 /// The body of a 421.
 #[derive(Serialize)]
-pub struct GoElsewhere<'a> {
+pub struct Redirect<'a> {
     #[serde(rename = "foreman", skip_serializing_if = "Option::is_none")]
     pub leader: Option<&'a str>,
 }
--- a/src/runtime/catalog.rs
+++ b/src/runtime/catalog.rs
@@ -4,7 +4,7 @@
 
 use super::{lock, Node};
 use crate::coordination::Event;
-use crate::protocol::cloud::{RigInfo, RigList};
+use crate::protocol::cloud::{MachineTypeInfo, MachineTypeList};
 use crate::protocol::state::{Change, Guard, Txn};
 use crate::storage::records::CATALOG;
 use hyper::Method;
@@ -53,13 +53,13 @@
     }
 }
 
-async fn from_state(node: &Node) -> Option<Vec<RigInfo>> {
+async fn from_state(node: &Node) -> Option<Vec<MachineTypeInfo>> {
     let item = node.state.get(CATALOG).await.ok()??;
-    let list: RigList = serde_json::from_value(item.data).ok()?;
+    let list: MachineTypeList = serde_json::from_value(item.data).ok()?;
     (!list.rigs.is_empty()).then_some(list.rigs)
 }
 
-async fn from_cloud(node: &Node) -> Option<Vec<RigInfo>> {
+async fn from_cloud(node: &Node) -> Option<Vec<MachineTypeInfo>> {
     let cloud = node.settings.platform.endpoints.cloud.to_string();
     let deadline = Duration::from_secs(3);
     let a = node
@@ -70,12 +70,12 @@
     if a.status != 200 {
         return None;
     }
-    let list: RigList = serde_json::from_slice(&a.body).ok()?;
+    let list: MachineTypeList = serde_json::from_slice(&a.body).ok()?;
     (!list.rigs.is_empty()).then_some(list.rigs)
 }
 
-async fn store(node: &Node, rigs: &[RigInfo]) {
-    let list = RigList {
+async fn store(node: &Node, rigs: &[MachineTypeInfo]) {
+    let list = MachineTypeList {
         rigs: rigs.to_vec(),
     };
     let Ok(data) = serde_json::to_value(&list) else {
--- a/src/runtime/http_api.rs
+++ b/src/runtime/http_api.rs
@@ -4,8 +4,8 @@
 use super::peers::STATE_FRESH;
 use super::{users, Node};
 use crate::protocol::peers::{PeerReply, PeerRequest};
-use crate::protocol::workers::{CheckInReply, GoElsewhere, Report};
-use crate::transport::server::{self, Rank, Seated, Seats};
+use crate::protocol::workers::{CheckInReply, Redirect, Report};
+use crate::transport::server::{self, ConnectionHandle, ConnectionTable, Rank};
 use bytes::{Buf, BytesMut};
 use futures_util::{Stream, TryStreamExt};
 use serde::Serialize;
@@ -59,25 +59,25 @@
 /// Serves until stopped.
 pub async fn serve(node: Arc<Node>, listener: tokio::net::TcpListener) {
     let stop = node.stop.clone();
-    let seats = Arc::new(Seats::new(node.sockets.front));
+    let slots = Arc::new(ConnectionTable::new(node.sockets.front));
     let idle = idle_time(node.policy.facts.workers.report_s);
     let routes = warp::method()
         .and(warp::path::full())
-        .and(warp::ext::optional::<Seated>())
+        .and(warp::ext::optional::<ConnectionHandle>())
         .and(warp::body::stream())
         .then(
-            move |method: Method, path: FullPath, seat: Option<Seated>, body| {
+            move |method: Method, path: FullPath, slot: Option<ConnectionHandle>, body| {
                 let node = node.clone();
                 async move {
-                    // Reports come first: when seats run out, users' connections make room.
-                    if let Some(seat) = seat.filter(|_| path.as_str() == CHECK_IN) {
-                        seat.rank(WORKER);
+                    // Reports come first: when slots run out, users' connections make room.
+                    if let Some(slot) = slot.filter(|_| path.as_str() == CHECK_IN) {
+                        slot.rank(WORKER);
                     }
                     to_http(answer(&node, method, path.as_str(), body).await)
                 }
             },
         );
-    server::serve(listener, seats, idle, stop, warp::service(routes)).await;
+    server::serve(listener, slots, idle, stop, warp::service(routes)).await;
 }
 
 /// Where workers report.
@@ -150,16 +150,16 @@
     };
     node.last_check_in.store(node.now().0, Ordering::Relaxed);
     let mut said = node.leader.check_in(node.now(), &report);
-    if matches!(said, CheckIn::Soon) {
+    if matches!(said, CheckIn::TakingOver) {
         node.leader.taken_over().await;
         said = node.leader.check_in(node.now(), &report);
     }
     match said {
         CheckIn::Orders { token, orders } => Reply::json(200, &CheckInReply { token, orders }),
-        CheckIn::Soon => Reply::json(421, &GoElsewhere { leader: None }),
+        CheckIn::TakingOver => Reply::json(421, &Redirect { leader: None }),
         CheckIn::GoTo(leader) => Reply::json(
             421,
-            &GoElsewhere {
+            &Redirect {
                 leader: leader.as_deref(),
             },
         ),
--- a/src/runtime/leader.rs
+++ b/src/runtime/leader.rs
@@ -34,11 +34,11 @@
     },
     GoTo(Option<String>),
     /// This controller has the leader key and is about to take over.
-    Soon,
+    TakingOver,
 }
 
 /// A check-in waits for a takeover for this long; the worker waits for 4 s.
-const SOON: Duration = Duration::from_millis(2500);
+const TAKEOVER_WAIT: Duration = Duration::from_millis(2500);
 
 /// The leader's core, if this controller leads, and the name of whoever else does.
 #[derive(Default)]
@@ -77,13 +77,13 @@
     /// Waits until a takeover that is under way is over, if it is so soon.
     pub async fn taken_over(&self) {
         let mut taking = self.taking.subscribe();
-        let _ = tokio::time::timeout(SOON, taking.wait_for(|t| !t)).await;
+        let _ = tokio::time::timeout(TAKEOVER_WAIT, taking.wait_for(|t| !t)).await;
     }
 
     /// Answers a check-in. Authority is checked before the core acts and again on what it says.
     pub fn check_in(&self, now: Millis, report: &Report) -> CheckIn {
         if *self.taking.borrow() {
-            return CheckIn::Soon;
+            return CheckIn::TakingOver;
         }
         if let Some(a) = lock(&self.active).as_mut() {
             if a.authority.holds(now) {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::coordination::Policy;
 use crate::ids::{JobId, Millis};
-use crate::protocol::cloud::RigInfo;
+use crate::protocol::cloud::MachineTypeInfo;
 use crate::settings::Settings;
 use crate::transport::client::Client;
 use crate::transport::peer::PeerClient;
@@ -37,7 +37,7 @@
     /// What each sibling last said of itself, and when.
     pub heard: Mutex<Vec<Option<peers::Heard>>>,
     pub leader: LeaderCell,
-    pub rigs: Mutex<Vec<RigInfo>>,
+    pub rigs: Mutex<Vec<MachineTypeInfo>>,
     /// Task counts as the leader last told, for display.
     pub counts: Mutex<BTreeMap<JobId, (u32, u32)>>,
     pub copy: copy::OpenCopy,
--- a/src/runtime/users.rs
+++ b/src/runtime/users.rs
@@ -7,7 +7,7 @@
 use super::state_client::{StateError, TxnOutcome};
 use super::{lock, time_of_day_ms, Node};
 use crate::ids::{JobId, Stamp};
-use crate::protocol::cloud::RigInfo;
+use crate::protocol::cloud::MachineTypeInfo;
 use crate::protocol::state::{Change, Guard, Txn};
 use crate::protocol::users::{
     parse_submission, Accepted, JobPhase, JobSpec, Malformed, Shape, Status,
@@ -114,7 +114,7 @@
 }
 
 /// Why a job can never run here; None if it can.
-pub fn never_runs(spec: &JobSpec, rigs: &[RigInfo], teams: &[Team]) -> Option<String> {
+pub fn never_runs(spec: &JobSpec, rigs: &[MachineTypeInfo], teams: &[Team]) -> Option<String> {
     let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
         return Some("unknown team".into());
     };
--- a/src/storage/ledger.rs
+++ b/src/storage/ledger.rs
@@ -2,11 +2,11 @@
 
 use super::records::DoneSet;
 use crate::ids::{
-    HostId, Image, JobId, Millis, PageNo, PieceId, Rig, Session, Site, Stamp, TeamNo, Tick, Token,
-    Try,
+    Attempt, HostId, Image, JobId, MachineType, Millis, PageNo, Session, Stamp, TaskId, TeamNo,
+    Tick, Token, Zone,
 };
 use crate::protocol::users::{JobSpec, Shape};
-use crate::protocol::workers::{Cause, PiecePhase};
+use crate::protocol::workers::{Cause, TaskPhase};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An amount of machine.
@@ -181,7 +181,7 @@
 /// What a report said of a start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Seen {
-    pub phase: PiecePhase,
+    pub phase: TaskPhase,
     pub cause: Option<Cause>,
     pub stored: bool,
     /// Since when it has been in this phase, as far as we know.
@@ -192,7 +192,7 @@
 
 /// A wish that a start end.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct StopWish {
+pub struct StopRequest {
     pub grace_s: f64,
     /// Whether a direct command has carried it.
     pub sent_direct: bool,
@@ -201,8 +201,8 @@
 /// One start (task and try) that may be on a machine.
 #[derive(Clone, Debug)]
 pub struct Start {
-    pub piece: PieceId,
-    pub attempt: Try,
+    pub piece: TaskId,
+    pub attempt: Attempt,
     /// What it takes of its machine and of its team, and the image it needs: kept here so that
     /// sums need no look at the job.
     pub need: Amount,
@@ -224,7 +224,7 @@
     /// Left by a former leader and not yet resolved by a report that carries our token.
     pub inherited: bool,
     pub seen: Option<Seen>,
-    pub stop: Option<StopWish>,
+    pub stop: Option<StopRequest>,
     /// Placed at.
     pub since: Millis,
     /// First seen running.
@@ -235,8 +235,8 @@
     /// A start that is only planned. Without a job (over and forgotten) `need` stands for all that
     /// it might take.
     pub fn planned(
-        piece: PieceId,
-        attempt: Try,
+        piece: TaskId,
+        attempt: Attempt,
         job: Option<&Job>,
         need: Amount,
         now: Millis,
@@ -264,7 +264,7 @@
     /// Seen ended, and still listed by the worker: a tombstone, on which a late launch of the same
     /// try has no effect.
     pub fn ended(&self) -> bool {
-        self.seen.is_some_and(|s| s.phase == PiecePhase::Ended)
+        self.seen.is_some_and(|s| s.phase == TaskPhase::Ended)
     }
     /// Whether a launch of it can still arrive.
     pub fn in_flight(&self) -> bool {
@@ -281,11 +281,11 @@
 }
 
 /// Check-ins in a row that show nothing of what we answered before: the machine counts as deaf.
-pub const UNHEEDED: u32 = 2;
+pub const DEAF_AFTER_REPLIES: u32 = 2;
 
-/// How a machine stands with us.
+/// Where a machine is in its life, as far as the leader knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum MachineState {
     /// Rented, its worker hasn't reported yet.
     Booting,
     /// Reports.
@@ -299,10 +299,10 @@
 pub struct Machine {
     pub id: HostId,
     pub endpoint: String,
-    pub rig: Rig,
-    pub site: Site,
+    pub rig: MachineType,
+    pub site: Zone,
     pub spot: bool,
-    pub standing: Standing,
+    pub state: MachineState,
     /// When we first knew of it.
     pub since: Millis,
     pub session: Session,
@@ -310,8 +310,8 @@
     /// The last check-in: any with a place not above it is a copy.
     pub checked_in: (Session, Tick),
     /// Known from our records, from a rental of ours, from the cloud, or by having shown our token: a
-    /// late copy of a report alone vouches for nothing.
-    pub vouched: bool,
+    /// late copy of a report alone proves nothing.
+    pub verified: bool,
     /// A report with a token of this leadership has been seen.
     pub confirmed: bool,
     /// The highest token that we answered it with, and that it has shown.
@@ -319,10 +319,10 @@
     pub shown: Token,
     /// Check-ins in a row that showed nothing of what we had answered, and since when it has counted
     /// as deaf.
-    pub unheeded: u32,
+    pub ignored_replies: u32,
     pub deaf_since: Option<Millis>,
     /// Deliberately not answered any more, so that its lease runs out.
-    pub shunned: bool,
+    pub lease_withheld: bool,
     /// When its last message arrived, of any kind, and its last check-in.
     pub heard: Option<Millis>,
     pub reported: Option<Millis>,
@@ -332,7 +332,7 @@
     /// last answer.
     pub session_seen: Millis,
     /// Every start that may be on it, tombstones included.
-    pub starts: BTreeMap<(PieceId, Try), Start>,
+    pub starts: BTreeMap<(TaskId, Attempt), Start>,
     /// What is free on it, and how many starts have not ended: kept in step by `starts.rs`.
     pub free: Amount,
     pub live: u32,
@@ -367,8 +367,8 @@
     /// A machine of which nothing is known but its name and kind, and what such a machine offers.
     pub fn new(
         id: HostId,
-        rig: Rig,
-        site: Site,
+        rig: MachineType,
+        site: Zone,
         spot: bool,
         whole: Amount,
         now: Millis,
@@ -379,18 +379,18 @@
             rig,
             site,
             spot,
-            standing: Standing::Booting,
+            state: MachineState::Booting,
             since: now,
             session: Session(0),
             tick: Tick(0),
             checked_in: (Session(0), Tick(0)),
-            vouched: true,
+            verified: true,
             confirmed: false,
             told: Token(0),
             shown: Token(0),
-            unheeded: 0,
+            ignored_replies: 0,
             deaf_since: None,
-            shunned: false,
+            lease_withheld: false,
             heard: None,
             reported: None,
             answered: now,
@@ -423,12 +423,12 @@
 
     /// Whether nothing that we say seems to reach it.
     pub fn deaf(&self) -> bool {
-        self.unheeded >= UNHEEDED
+        self.ignored_replies >= DEAF_AFTER_REPLIES
     }
 
     /// It has shown that it hears us.
-    pub fn heeds(&mut self) {
-        self.unheeded = 0;
+    pub fn mark_responsive(&mut self) {
+        self.ignored_replies = 0;
         self.deaf_since = None;
     }
 
@@ -442,7 +442,7 @@
     /// don't count: they renew no lease, so that a machine from which only they come is about to lose
     /// its tasks.
     pub fn silent(&self, now: Millis, bound: Millis) -> bool {
-        self.standing == Standing::Up && self.reported.is_none_or(|h| now - h > bound)
+        self.state == MachineState::Up && self.reported.is_none_or(|h| now - h > bound)
     }
 
     /// The latest moment from which the lease that a start lives by can count.
@@ -462,10 +462,10 @@
     }
 
     /// A job has turned out to fail everywhere: what it did here says nothing of the machine.
-    pub fn pardon(&mut self, job: &JobId, most: usize) {
+    pub fn forget_failures_of(&mut self, job: &JobId, most: usize) {
         let removed = self.failed_jobs.remove(job);
         // One that is given up for another reason stays so.
-        let in_use = self.standing == Standing::Up && !self.shunned;
+        let in_use = self.state == MachineState::Up && !self.lease_withheld;
         if removed && self.sick && in_use && self.failed_jobs.len() < most {
             self.sick = false;
             self.drain = false;
--- a/src/storage/pages.rs
+++ b/src/storage/pages.rs
@@ -2,20 +2,20 @@
 //! true, and what is new. So reclaiming costs no change of its own, and there are never many more
 //! pages than what is true needs.
 
-use crate::ids::{HostId, JobId, Millis, PageNo, PieceId, Stamp, Try};
+use crate::ids::{Attempt, HostId, JobId, Millis, PageNo, Stamp, TaskId};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One start, wherever it is.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StartKey {
     pub host: HostId,
-    pub piece: PieceId,
-    pub attempt: Try,
+    pub piece: TaskId,
+    pub attempt: Attempt,
 }
 
 impl StartKey {
     /// From a machine and a key of its ledger.
-    pub fn new(host: &HostId, key: &(PieceId, Try)) -> StartKey {
+    pub fn new(host: &HostId, key: &(TaskId, Attempt)) -> StartKey {
         StartKey {
             host: host.clone(),
             piece: key.0.clone(),
@@ -49,9 +49,9 @@
 #[derive(Default)]
 pub struct Measure {
     bytes: usize,
-    seen: BTreeSet<(Try, JobId, HostId)>,
-    tries: BTreeSet<Try>,
-    tried: BTreeSet<(Try, JobId)>,
+    seen: BTreeSet<(Attempt, JobId, HostId)>,
+    tries: BTreeSet<Attempt>,
+    tried: BTreeSet<(Attempt, JobId)>,
     jobs: BTreeSet<JobId>,
 }
 
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -12,7 +12,7 @@
 //! | `h/N` | a page of machines rented, with hints about them | the leader |
 //! | `hints` | arrivals and run times seen, so that a new leader need not learn them again | the leader |
 
-use crate::ids::{HostId, Image, JobId, PageNo, PieceId, Rig, Site, Token, Try};
+use crate::ids::{Attempt, HostId, Image, JobId, MachineType, PageNo, TaskId, Token, Zone};
 use crate::protocol::users::{JobPhase, JobSpec};
 use crate::storage::ledger::Amount;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
@@ -122,19 +122,19 @@
 /// starts costs few changes.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct IntentsPage {
-    /// Try -> job -> machine -> tasks.
-    pub starts: BTreeMap<Try, BTreeMap<JobId, BTreeMap<HostId, Vec<u32>>>>,
+    /// Attempt -> job -> machine -> tasks.
+    pub starts: BTreeMap<Attempt, BTreeMap<JobId, BTreeMap<HostId, Vec<u32>>>>,
     /// What the jobs named above take.
     pub jobs: BTreeMap<JobId, JobTakes>,
     /// The time of day at which each try was placed, in seconds since 1970. A hint: it tells a new
     /// leader how long the tasks have been running.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
-    pub placed_s: BTreeMap<Try, u64>,
+    pub placed_s: BTreeMap<Attempt, u64>,
 }
 
 impl IntentsPage {
     /// Adds a start.
-    pub fn add(&mut self, host: &HostId, piece: &PieceId, attempt: Try) {
+    pub fn add(&mut self, host: &HostId, piece: &TaskId, attempt: Attempt) {
         let tasks = self
             .starts
             .entry(attempt)
@@ -146,12 +146,12 @@
         tasks.push(piece.index);
     }
     /// The starts, flat.
-    pub fn starts(&self) -> impl Iterator<Item = (HostId, PieceId, Try)> + '_ {
+    pub fn starts(&self) -> impl Iterator<Item = (HostId, TaskId, Attempt)> + '_ {
         self.starts.iter().flat_map(|(attempt, jobs)| {
             jobs.iter().flat_map(move |(job, hosts)| {
                 hosts.iter().flat_map(move |(host, tasks)| {
                     tasks.iter().map(move |index| {
-                        let piece = PieceId {
+                        let piece = TaskId {
                             job: job.clone(),
                             index: *index,
                         };
@@ -172,7 +172,7 @@
 /// A page of machines. Kinds and images are named once and then by number.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct HostsPage {
-    pub kinds: Vec<(Rig, Site, bool)>,
+    pub kinds: Vec<(MachineType, Zone, bool)>,
     pub images: Vec<(Image, f64)>,
     pub hosts: BTreeMap<HostId, HostNote>,
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,4 +1,4 @@
-//! Moving bytes: the HTTP client with deadlines, the HTTP server with its seats, the peer link,
+//! Moving bytes: the HTTP client with deadlines, the HTTP server with its slots, the peer link,
 //! rate budgets, the division of sockets. No policy here.
 
 pub mod budget;
--- a/src/transport/server.rs
+++ b/src/transport/server.rs
@@ -1,5 +1,5 @@
-//! The HTTP server: a task for each connection, within a table of so many seats. When the table is
-//! full a newcomer takes the seat of whoever is worth least: of the lowest rank, idle, and longest
+//! The HTTP server: a task for each connection, within a table of so many slots. When the table is
+//! full a newcomer takes the slot of whoever is worth least: of the lowest rank, idle, and longest
 //! unused. Which guests rank how is the caller's to say.
 //!
 //! Guards against running out of sockets: a machine without power never closes its connection, and
@@ -24,7 +24,7 @@
 pub struct Rank(pub u8);
 
 #[derive(Debug)]
-struct Seat {
+struct ConnectionSlot {
     rank: Rank,
     /// A request is being answered.
     busy: bool,
@@ -34,21 +34,21 @@
 
 #[derive(Debug, Default)]
 struct Table {
-    seats: BTreeMap<u64, Seat>,
+    slots: BTreeMap<u64, ConnectionSlot>,
     next: u64,
 }
 
-/// The seats of one server.
+/// The slots of one server.
 #[derive(Debug)]
-pub struct Seats {
+pub struct ConnectionTable {
     most: usize,
     table: Mutex<Table>,
 }
 
-impl Seats {
-    /// So many seats, all free.
-    pub fn new(most: usize) -> Seats {
-        Seats {
+impl ConnectionTable {
+    /// So many slots, all free.
+    pub fn new(most: usize) -> ConnectionTable {
+        ConnectionTable {
             most: most.max(1),
             table: Mutex::default(),
         }
@@ -60,68 +60,68 @@
 
     /// How many are taken.
     pub fn taken(&self) -> usize {
-        self.lock().seats.len()
+        self.lock().slots.len()
     }
 
-    /// Takes a seat; if there is none, that of whoever is worth least.
+    /// Takes a slot; if there is none, that of whoever is worth least.
     fn take(&self, close: CancellationToken) -> u64 {
         let mut t = self.lock();
-        if t.seats.len() >= self.most {
+        if t.slots.len() >= self.most {
             let least = t
-                .seats
+                .slots
                 .iter()
                 .min_by_key(|(_, s)| (s.busy, s.rank, s.used))
                 .map(|(n, _)| *n);
-            if let Some(seat) = least.and_then(|n| t.seats.remove(&n)) {
-                seat.close.cancel();
+            if let Some(slot) = least.and_then(|n| t.slots.remove(&n)) {
+                slot.close.cancel();
             }
         }
         t.next += 1;
         let no = t.next;
-        let seat = Seat {
+        let slot = ConnectionSlot {
             rank: Rank::default(),
             busy: false,
             used: Instant::now(),
             close,
         };
-        t.seats.insert(no, seat);
+        t.slots.insert(no, slot);
         no
     }
 
-    fn change(&self, no: u64, change: impl FnOnce(&mut Seat)) {
-        if let Some(s) = self.lock().seats.get_mut(&no) {
+    fn change(&self, no: u64, change: impl FnOnce(&mut ConnectionSlot)) {
+        if let Some(s) = self.lock().slots.get_mut(&no) {
             change(s);
         }
     }
 }
 
-/// The seat that a request came from: among the request's extensions.
+/// The slot that a request came from: among the request's extensions.
 #[derive(Clone, Debug)]
-pub struct Seated {
-    seats: Arc<Seats>,
+pub struct ConnectionHandle {
+    slots: Arc<ConnectionTable>,
     no: u64,
 }
 
-impl Seated {
+impl ConnectionHandle {
     /// From now on the connection is worth so much.
     pub fn rank(&self, rank: Rank) {
-        self.seats.change(self.no, |s| s.rank = rank);
+        self.slots.change(self.no, |s| s.rank = rank);
     }
 }
 
-/// Leaves the seat however the connection ends.
-struct Leaving(Seated);
+/// Leaves the slot however the connection ends.
+struct Leaving(ConnectionHandle);
 
 impl Drop for Leaving {
     fn drop(&mut self) {
-        self.0.seats.lock().seats.remove(&self.0.no);
+        self.0.slots.lock().slots.remove(&self.0.no);
     }
 }
 
 /// Serves until stopped; a connection on which no request begins for `idle` is closed.
 pub async fn serve<S, B>(
     listener: TcpListener,
-    seats: Arc<Seats>,
+    slots: Arc<ConnectionTable>,
     idle: Duration,
     stop: CancellationToken,
     service: S,
@@ -150,20 +150,20 @@
         };
         let _ = stream.set_nodelay(true);
         let close = stop.child_token();
-        let seated = Seated {
-            no: seats.take(close.clone()),
-            seats: seats.clone(),
+        let handle = ConnectionHandle {
+            no: slots.take(close.clone()),
+            slots: slots.clone(),
         };
-        let leaving = Leaving(seated.clone());
+        let leaving = Leaving(handle.clone());
         let service = service.clone();
         let answer = service_fn(move |mut request: Request<Incoming>| {
-            let seated = seated.clone();
+            let handle = handle.clone();
             let mut service = service.clone();
-            seated.seats.change(seated.no, |s| s.busy = true);
-            request.extensions_mut().insert(seated.clone());
+            handle.slots.change(handle.no, |s| s.busy = true);
+            request.extensions_mut().insert(handle.clone());
             async move {
                 let answer = service.call(request).await;
-                seated.seats.change(seated.no, |s| {
+                handle.slots.change(handle.no, |s| {
                     s.busy = false;
                     s.used = Instant::now();
                 });
@@ -197,26 +197,26 @@
 
     #[test]
     fn a_full_table_gives_up_the_lowest_rank_and_what_lay_idle_longest() {
-        let seats = Seats::new(3);
+        let slots = ConnectionTable::new(3);
         let tokens: Vec<_> = (0..6).map(|_| CancellationToken::new()).collect();
-        let worker = seats.take(tokens[0].clone());
-        seats.change(worker, |s| s.rank = Rank(1));
-        let user = seats.take(tokens[1].clone());
-        let busy = seats.take(tokens[2].clone());
-        seats.change(busy, |s| s.busy = true);
-        seats.change(user, |s| s.used = Instant::now());
-        seats.take(tokens[3].clone());
+        let worker = slots.take(tokens[0].clone());
+        slots.change(worker, |s| s.rank = Rank(1));
+        let user = slots.take(tokens[1].clone());
+        let busy = slots.take(tokens[2].clone());
+        slots.change(busy, |s| s.busy = true);
+        slots.change(user, |s| s.used = Instant::now());
+        slots.take(tokens[3].clone());
         assert!(
             tokens[1].is_cancelled(),
             "an idle user goes before a worker"
         );
-        seats.take(tokens[4].clone());
+        slots.take(tokens[4].clone());
         assert!(tokens[3].is_cancelled(), "and before a request under way");
         assert!(!tokens[0].is_cancelled() && !tokens[2].is_cancelled());
-        assert_eq!(seats.taken(), 3);
-        let last = seats.lock().next;
-        seats.change(last, |s| s.rank = Rank(1));
-        seats.take(tokens[5].clone());
+        assert_eq!(slots.taken(), 3);
+        let last = slots.lock().next;
+        slots.change(last, |s| s.rank = Rank(1));
+        slots.take(tokens[5].clone());
         assert!(tokens[0].is_cancelled(), "of workers the longest idle");
     }
 }
--- a/tests/encodings.rs
+++ b/tests/encodings.rs
@@ -95,11 +95,11 @@
     let mut page = IntentsPage::default();
     let host = HostId::from("host-000231");
     for index in [0, 4] {
-        let piece = PieceId {
+        let piece = TaskId {
             job: JobId::from("wk-000412"),
             index,
         };
-        page.add(&host, &piece, Try(9));
+        page.add(&host, &piece, Attempt(9));
     }
     let takes = JobTakes("vision".into(), 8.0, 1.0, 64.0);
     page.jobs.insert(JobId::from("wk-000412"), takes);
@@ -108,7 +108,7 @@
         r#""jobs":{"wk-000412":["vision",8.0,1.0,64.0]}}"#
     );
     stored(&page, without_times);
-    page.placed_s.insert(Try(9), 1_700_000_000);
+    page.placed_s.insert(Attempt(9), 1_700_000_000);
     stored(
         &page,
         concat!(
@@ -121,7 +121,7 @@
 #[test]
 fn machines() {
     let mut page = HostsPage {
-        kinds: vec![(Rig::from("g8"), Site::from("a"), true)],
+        kinds: vec![(MachineType::from("g8"), Zone::from("a"), true)],
         images: vec![(Image::from("img-07"), 6.2)],
         ..HostsPage::default()
     };
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -7,10 +7,10 @@
 use chalklug::coordination::worker_sessions::CheckInAnswer;
 use chalklug::coordination::{Core, Effect, Event, Policy};
 use chalklug::ids::*;
-use chalklug::protocol::cloud::RigInfo;
+use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::state::{Change, Item};
 use chalklug::protocol::users::parse_submission;
-use chalklug::protocol::workers::{Order, PiecePhase, PieceReport, Report};
+use chalklug::protocol::workers::{Order, Report, TaskPhase, TaskReport};
 use chalklug::settings::*;
 use chalklug::storage::records::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,9 +34,9 @@
     })
 }
 
-fn rig() -> RigInfo {
-    RigInfo {
-        name: Rig::from("box"),
+fn rig() -> MachineTypeInfo {
+    MachineTypeInfo {
+        name: MachineType::from("box"),
         cpus: 64.0,
         gpus: GPUS as f64,
         ram_gb: 256.0,
@@ -45,7 +45,7 @@
         price: 10.0,
         spot_price: 4.0,
         boot_s: 25.0,
-        sites: vec![Site::from("a"), Site::from("b")],
+        sites: vec![Zone::from("a"), Zone::from("b")],
     }
 }
 
@@ -59,7 +59,7 @@
     let mut hosts: BTreeMap<u64, HostsPage> = BTreeMap::new();
     for n in 0..MACHINES {
         let page = hosts.entry(n / 40).or_default();
-        page.kinds = vec![(Rig::from("box"), Site::from("a"), false)];
+        page.kinds = vec![(MachineType::from("box"), Zone::from("a"), false)];
         page.hosts.insert(host(n), HostNote(0, 0, true, vec![]));
     }
     let mut open = Vec::new();
@@ -72,8 +72,8 @@
         let spec = parse_submission(body.to_string().as_bytes()).unwrap();
         let mut page = IntentsPage::default();
         for t in 0..10 * GPUS {
-            let piece = PieceId::parse(&format!("{id}/{t}")).unwrap();
-            page.add(&host(j * 10 + t / GPUS), &piece, Try(7));
+            let piece = TaskId::parse(&format!("{id}/{t}")).unwrap();
+            page.add(&host(j * 10 + t / GPUS), &piece, Attempt(7));
         }
         page.jobs.insert(spec.id.clone(), JobTakes::of(&spec));
         pages.push(page);
@@ -128,13 +128,13 @@
 fn report(n: u64, tick: u64, token: u64, ended: usize) -> Report {
     let pieces = (0..GPUS).map(|t| {
         let ends = (t as usize) < ended;
-        PieceReport {
-            piece: PieceId::parse(&format!("wk-{:06}/{}", n / 10, (n % 10) * GPUS + t)).unwrap(),
-            attempt: Try(7),
+        TaskReport {
+            piece: TaskId::parse(&format!("wk-{:06}/{}", n / 10, (n % 10) * GPUS + t)).unwrap(),
+            attempt: Attempt(7),
             phase: if ends {
-                PiecePhase::Ended
+                TaskPhase::Ended
             } else {
-                PiecePhase::Running
+                TaskPhase::Running
             },
             cause: ends.then_some(chalklug::protocol::workers::Cause::Done),
             stored: false,
@@ -143,8 +143,8 @@
     Report {
         host: host(n),
         endpoint: format!("10.1.{}.{}:9000", n / 250, n % 250),
-        rig: Rig::from("box"),
-        site: Site::from("a"),
+        rig: MachineType::from("box"),
+        site: Zone::from("a"),
         spot: false,
         session: Session(1),
         tick: Tick(tick),
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -5,7 +5,7 @@
 use chalklug::protocol::peers::{PeerReply, PeerRequest};
 use chalklug::protocol::state::{Change, Guard, NewsPage, Txn};
 use chalklug::protocol::users::{parse_submission, Shape, Urgency};
-use chalklug::protocol::workers::{Cause, CheckInReply, Order, PiecePhase, Report};
+use chalklug::protocol::workers::{Cause, CheckInReply, Order, Report, TaskPhase};
 use serde_json::json;
 
 #[test]
@@ -49,9 +49,9 @@
             {"piece":"wk-000398/1","try":1,"phase":"ended","cause":"struck_by_lightning"}]}),
     )
     .unwrap();
-    let phases: Vec<PiecePhase> = r.pieces.iter().map(|p| p.phase).collect();
+    let phases: Vec<TaskPhase> = r.pieces.iter().map(|p| p.phase).collect();
     // A phase not known counts as present, a cause not known as an error.
-    assert_eq!(phases[..2], [PiecePhase::Fetching, PiecePhase::Running]);
+    assert_eq!(phases[..2], [TaskPhase::Fetching, TaskPhase::Running]);
     assert_eq!(r.pieces[2].cause, Some(Cause::MatesGone));
     assert_eq!(r.pieces[3].cause, Some(Cause::Error));
     assert!(r.pieces[2].stored && r.token == Token(41));
@@ -59,22 +59,22 @@
 
 #[test]
 fn orders_and_transactions_are_written_as_the_protocol_says() {
-    let piece = PieceId::parse("wk-000377/1").unwrap();
+    let piece = TaskId::parse("wk-000377/1").unwrap();
     let reply = CheckInReply {
         token: Token(41),
         orders: vec![
             Order::Launch {
                 piece: piece.clone(),
-                attempt: Try(2),
+                attempt: Attempt(2),
             },
             Order::Stop {
                 piece: piece.clone(),
-                attempt: Try(1),
+                attempt: Attempt(1),
                 grace_s: 10.0,
             },
             Order::Clear {
                 piece,
-                attempt: Try(1),
+                attempt: Attempt(1),
             },
         ],
     };
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,7 +5,7 @@
 
 use chalklug::coordination::Policy;
 use chalklug::ids::*;
-use chalklug::protocol::cloud::RigInfo;
+use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::state::{Change, Txn};
 use chalklug::protocol::users::{JobPhase, JobSpec, Shape, Urgency};
 use chalklug::protocol::workers::Order;
@@ -42,7 +42,7 @@
 
 struct Given {
     facts: Facts,
-    rigs: Vec<RigInfo>,
+    rigs: Vec<MachineTypeInfo>,
     machines: u32,
     seed: u64,
     campaigns: bool,
@@ -94,8 +94,8 @@
             gpus: w.num("gpus", 0.0),
             gpus_max: w.num("max", 0.0),
         }),
-        "rig" => g.rigs.push(RigInfo {
-            name: Rig::from(rest[0]),
+        "rig" => g.rigs.push(MachineTypeInfo {
+            name: MachineType::from(rest[0]),
             cpus: w.num("cpus", 64.0),
             gpus: w.num("gpus", 8.0),
             ram_gb: w.num("ram", 256.0),
@@ -108,7 +108,7 @@
                 .get("sites")
                 .unwrap_or("a")
                 .split(',')
-                .map(Site::from)
+                .map(Zone::from)
                 .collect(),
         }),
         "objective" => g.facts.objectives.push(Objective {
@@ -151,7 +151,7 @@
         image: Image::from(w.get("image").unwrap_or("img")),
         image_gb: w.num("gb", 2.0),
         rigs: None,
-        site: w.get("site").map(Site::from),
+        site: w.get("site").map(Zone::from),
         together: w.has("together"),
         scatter: w.has("scatter"),
         spot: w.has("spot"),
@@ -255,8 +255,8 @@
         // What follows the service never does: it shows that the checker sees it.
         "rogue-launch" => {
             let order = Order::Launch {
-                piece: PieceId::parse(rest[0]).unwrap(),
-                attempt: Try(1 << 50),
+                piece: TaskId::parse(rest[0]).unwrap(),
+                attempt: Attempt(1 << 50),
             };
             let h = match words.get("not-of") {
                 Some(job) => {
@@ -344,12 +344,12 @@
             }
         }
         "starts" => {
-            let piece = PieceId::parse(rest[1]).unwrap();
+            let piece = TaskId::parse(rest[1]).unwrap();
             let n = w.checker.starts.get(&piece).copied().unwrap_or(0);
             assert_eq!(n.to_string(), rest[2], "{file}: starts of {piece}");
         }
         "tries" => {
-            let of = |(p, _): &(&PieceId, &u32)| p.job == job();
+            let of = |(p, _): &(&TaskId, &u32)| p.job == job();
             let n: u32 = w.checker.starts.iter().filter(of).map(|(_, n)| n).sum();
             let most = words.num("most", 1e9);
             assert!(f64::from(n) <= most, "{file}: {n} starts of {}", rest[1]);
--- a/tests/world/checker.rs
+++ b/tests/world/checker.rs
@@ -3,9 +3,9 @@
 use super::store::Store;
 use super::worker::Worker;
 use chalklug::ids::*;
-use chalklug::protocol::cloud::RigInfo;
+use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::users::{JobPhase, JobSpec, Shape};
-use chalklug::protocol::workers::{Cause, PiecePhase};
+use chalklug::protocol::workers::{Cause, TaskPhase};
 use chalklug::settings::Facts;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,13 +16,13 @@
     done: BTreeMap<JobId, BTreeSet<u32>>,
     told: BTreeMap<JobId, JobPhase>,
     /// What was on which machine when last looked at.
-    on: BTreeSet<(PieceId, HostId, u64, Try)>,
-    pub starts: BTreeMap<PieceId, u32>,
+    on: BTreeSet<(TaskId, HostId, u64, Attempt)>,
+    pub starts: BTreeMap<TaskId, u32>,
     pub broken: BTreeSet<String>,
     pub first: Option<String>,
     /// A job that nobody submits.
     pub stranger: JobId,
-    rigs: Vec<RigInfo>,
+    rigs: Vec<MachineTypeInfo>,
     /// Jobs that a job waits for.
     after: BTreeMap<JobId, Vec<JobId>>,
     /// The last moment at which some trouble went on.
@@ -37,7 +37,7 @@
 const HEARING: Millis = Millis(1_000);
 
 impl Checker {
-    pub fn new(facts: Facts, rigs: Vec<RigInfo>) -> Checker {
+    pub fn new(facts: Facts, rigs: Vec<MachineTypeInfo>) -> Checker {
         Checker {
             rigs,
             after: BTreeMap::new(),
@@ -83,7 +83,7 @@
 
     /// A launch leaves a leader that has heard of everything confirmed, or that could for `unheard`
     /// not have.
-    pub fn launch_leaves(&mut self, now: Millis, piece: &PieceId, unheard: Millis) {
+    pub fn launch_leaves(&mut self, now: Millis, piece: &TaskId, unheard: Millis) {
         let since = self.cancelled.get(&piece.job);
         if since.is_some_and(|t| now - *t > unheard.max(HEARING)) {
             self.breaks(now, "launched_cancelled", piece.to_string());
@@ -119,14 +119,14 @@
     /// Jobs that wait although there is room: after the troubles nobody may for long.
     fn look_at_waiting(&mut self, now: Millis, workers: &BTreeMap<HostId, Worker>, store: &Store) {
         let mut used: BTreeMap<&str, f64> = BTreeMap::new();
-        let mut placed: BTreeSet<&PieceId> = BTreeSet::new();
+        let mut placed: BTreeSet<&TaskId> = BTreeSet::new();
         // Machines that report and do their work, with what is free.
         let mut free: Vec<(&Worker, f64, f64)> = Vec::new();
         for w in workers.values() {
             let rig = self.rigs.iter().find(|r| r.name == w.rig);
             let (mut cpus, mut gpus) = rig.map_or((0.0, 0.0), |r| (r.cpus, r.gpus));
             for ((p, _), t) in &w.tasks {
-                if t.phase != PiecePhase::Ended {
+                if t.phase != TaskPhase::Ended {
                     let spec = &self.jobs[&p.job];
                     (cpus, gpus) = (cpus - spec.cpus, gpus - spec.gpus);
                     *used.entry(spec.team.as_str()).or_default() += spec.gpus;
@@ -148,9 +148,9 @@
                 continue;
             }
             let done = self.done.get(id);
-            let missing: Vec<PieceId> = (0..spec.pieces)
+            let missing: Vec<TaskId> = (0..spec.pieces)
                 .filter(|i| done.is_none_or(|d| !d.contains(i)))
-                .map(|index| PieceId {
+                .map(|index| TaskId {
                     job: id.clone(),
                     index,
                 })
@@ -165,17 +165,17 @@
             let max = team.map_or(0.0, |t| t.gpus_max);
             let uses = used.get(spec.team.as_str()).copied().unwrap_or(0.0);
             let under = max <= 0.0 || uses + spec.gpus * f64::from(tasks) <= max + 1e-6;
-            let mine: BTreeSet<&Site> = workers
+            let mine: BTreeSet<&Zone> = workers
                 .values()
                 .filter(|w| {
-                    let going = |((p, _), t): (&(PieceId, Try), &super::worker::Task)| {
-                        p.job == *id && t.phase != PiecePhase::Ended
+                    let going = |((p, _), t): (&(TaskId, Attempt), &super::worker::Task)| {
+                        p.job == *id && t.phase != TaskPhase::Ended
                     };
                     w.tasks.iter().any(going)
                 })
                 .map(|w| &w.site)
                 .collect();
-            let mut room: BTreeMap<&Site, u32> = BTreeMap::new();
+            let mut room: BTreeMap<&Zone, u32> = BTreeMap::new();
             for (w, cpus, gpus) in &free {
                 let kind = (spec.spot || !w.spot)
                     && spec.site.as_ref().is_none_or(|s| *s == w.site)
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -45,8 +45,8 @@
     pub(super) fn rent(
         &mut self,
         hire: &str,
-        rig: &Rig,
-        site: &Site,
+        rig: &MachineType,
+        site: &Zone,
         spot: bool,
         n: u32,
     ) -> Option<Vec<HostId>> {
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -12,7 +12,7 @@
 use chalklug::coordination::worker_sessions::CheckInAnswer;
 use chalklug::coordination::{Core, Effect, Event, Policy};
 use chalklug::ids::*;
-use chalklug::protocol::cloud::{CloudHost, RigInfo};
+use chalklug::protocol::cloud::{CloudHost, MachineTypeInfo};
 use chalklug::protocol::state::{Change, Guard, Txn};
 use chalklug::protocol::users::{JobPhase, JobSpec};
 use chalklug::protocol::workers::{Order, Report};
@@ -70,14 +70,14 @@
 pub struct World {
     pub now: Millis,
     pub policy: Arc<Policy>,
-    pub rigs: Vec<RigInfo>,
+    pub rigs: Vec<MachineTypeInfo>,
     pub capacity: u32,
     pub store: Store,
     pub workers: BTreeMap<HostId, Worker>,
     pub specs: BTreeMap<JobId, JobSpec>,
     /// How long tasks of a job really run.
     pub runs: BTreeMap<JobId, f64>,
-    pub progress: BTreeMap<PieceId, f64>,
+    pub progress: BTreeMap<TaskId, f64>,
     pub checker: Checker,
     pub rng: StdRng,
     core: Option<Core>,
@@ -124,7 +124,7 @@
 }
 
 impl World {
-    pub fn new(policy: Policy, rigs: Vec<RigInfo>, capacity: u32, seed: u64) -> World {
+    pub fn new(policy: Policy, rigs: Vec<MachineTypeInfo>, capacity: u32, seed: u64) -> World {
         World {
             now: Millis(0),
             checker: Checker::new(policy.facts.clone(), rigs.clone()),
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -2,16 +2,16 @@
 
 use super::Cut;
 use chalklug::ids::*;
-use chalklug::protocol::cloud::RigInfo;
+use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::users::{JobSpec, Shape};
-use chalklug::protocol::workers::{Cause, Order, PiecePhase, PieceReport, Report};
+use chalklug::protocol::workers::{Cause, Order, Report, TaskPhase, TaskReport};
 use chalklug::settings::Workers as Times;
 use rand::rngs::StdRng;
 use rand::Rng;
 use std::collections::{BTreeMap, BTreeSet};
 
 pub struct Task {
-    pub phase: PiecePhase,
+    pub phase: TaskPhase,
     pub cause: Option<Cause>,
     pub stored: bool,
     /// When the present phase ends by itself.
@@ -24,15 +24,15 @@
 
 pub struct Worker {
     pub id: HostId,
-    pub rig: Rig,
-    pub site: Site,
+    pub rig: MachineType,
+    pub site: Zone,
     pub spot: bool,
     pub rented_at: Millis,
     pub up_at: Millis,
     pub session: Session,
     pub token: Token,
     pub lease_from: Millis,
-    pub tasks: BTreeMap<(PieceId, Try), Task>,
+    pub tasks: BTreeMap<(TaskId, Attempt), Task>,
     pub sick: bool,
     /// Images take so many times as long.
     pub fetch_times: f64,
@@ -52,7 +52,14 @@
 type Specs = BTreeMap<JobId, JobSpec>;
 
 impl Worker {
-    pub fn new(id: HostId, rig: Rig, site: Site, spot: bool, now: Millis, up: Millis) -> Worker {
+    pub fn new(
+        id: HostId,
+        rig: MachineType,
+        site: Zone,
+        spot: bool,
+        now: Millis,
+        up: Millis,
+    ) -> Worker {
         Worker {
             id,
             rig,
@@ -116,8 +123,8 @@
     }
 
     /// Tasks that have their image and haven't ended: on the machine, in the rules' sense.
-    pub fn on_machine(&self) -> impl Iterator<Item = (&PieceId, &Task)> {
-        let there = |t: &Task| !matches!(t.phase, PiecePhase::Fetching | PiecePhase::Ended);
+    pub fn on_machine(&self) -> impl Iterator<Item = (&TaskId, &Task)> {
+        let there = |t: &Task| !matches!(t.phase, TaskPhase::Fetching | TaskPhase::Ended);
         self.tasks
             .iter()
             .filter(move |(_, t)| there(t))
@@ -139,7 +146,7 @@
             pieces: self
                 .tasks
                 .iter()
-                .map(|((piece, attempt), t)| PieceReport {
+                .map(|((piece, attempt), t)| TaskReport {
                     piece: piece.clone(),
                     attempt: *attempt,
                     phase: t.phase,
@@ -166,7 +173,7 @@
     }
 
     fn end(t: &mut Task, cause: Cause) {
-        t.phase = PiecePhase::Ended;
+        t.phase = TaskPhase::Ended;
         t.cause = Some(cause);
     }
 
@@ -174,7 +181,7 @@
         &mut self,
         now: Millis,
         specs: &Specs,
-        progress: &mut BTreeMap<PieceId, f64>,
+        progress: &mut BTreeMap<TaskId, f64>,
         times: &Times,
     ) {
         // The lease: counted from when the last answered report was sent. It ends also while the
@@ -194,20 +201,20 @@
                 continue;
             }
             match t.phase {
-                PiecePhase::Fetching => {
+                TaskPhase::Fetching => {
                     self.images.insert(spec.image.clone());
                     if t.left_s < 0.0 && !t.fails {
                         Self::end(t, Cause::Done);
                     } else if spec.shape == Shape::Gang {
-                        t.phase = PiecePhase::Waiting;
+                        t.phase = TaskPhase::Waiting;
                         t.until = now + Millis::from_secs(times.gang_wait_s);
                     } else {
                         Self::run(now, t);
                     }
                 }
-                PiecePhase::Waiting => Self::end(t, Cause::Incomplete),
-                PiecePhase::Running if self.sick || t.fails => Self::end(t, Cause::Error),
-                PiecePhase::Running => {
+                TaskPhase::Waiting => Self::end(t, Cause::Incomplete),
+                TaskPhase::Running if self.sick || t.fails => Self::end(t, Cause::Error),
+                TaskPhase::Running => {
                     // The result is kept: a later start ends as done once it has its image. A gang
                     // completes as a whole.
                     let all = spec.shape == Shape::Gang;
@@ -218,24 +225,24 @@
                     };
                     for index in pieces {
                         let job = piece.job.clone();
-                        progress.insert(PieceId { job, index }, -1.0);
+                        progress.insert(TaskId { job, index }, -1.0);
                     }
                     Self::end(t, Cause::Done)
                 }
-                PiecePhase::Saving => {
+                TaskPhase::Saving => {
                     let ran = (now - t.running_from).secs();
                     progress.insert(piece.clone(), (t.left_s - ran).max(0.0));
                     t.stored = true;
                     Self::end(t, Cause::Stopped);
                 }
-                PiecePhase::Ended => continue,
+                TaskPhase::Ended => continue,
             }
             self.changed = true;
         }
     }
 
     fn run(now: Millis, t: &mut Task) {
-        t.phase = PiecePhase::Running;
+        t.phase = TaskPhase::Running;
         t.running_from = now;
         t.until = now + Millis::from_secs(t.left_s);
     }
@@ -246,8 +253,8 @@
         order: &Order,
         specs: &Specs,
         runs: &BTreeMap<JobId, f64>,
-        progress: &mut BTreeMap<PieceId, f64>,
-        rigs: &[RigInfo],
+        progress: &mut BTreeMap<TaskId, f64>,
+        rigs: &[MachineTypeInfo],
     ) {
         self.changed = true;
         match order {
@@ -264,7 +271,7 @@
                 };
                 let left_s = progress.get(piece).copied().unwrap_or(runs[&piece.job]);
                 let mut t = Task {
-                    phase: PiecePhase::Fetching,
+                    phase: TaskPhase::Fetching,
                     cause: None,
                     stored: false,
                     until: now + Millis::from_secs(fetch),
@@ -278,18 +285,18 @@
                     fails: runs[&piece.job] < 0.0,
                     running_from: now,
                 };
-                let other = |(p, _): &(PieceId, Try)| p == piece;
+                let other = |(p, _): &(TaskId, Attempt)| p == piece;
                 if self
                     .tasks
                     .iter()
-                    .any(|(k, t)| other(k) && t.phase != PiecePhase::Ended)
+                    .any(|(k, t)| other(k) && t.phase != TaskPhase::Ended)
                 {
                     Self::end(&mut t, Cause::Busy);
                 }
                 let used: f64 = self
                     .tasks
                     .iter()
-                    .filter(|(_, t)| t.phase != PiecePhase::Ended)
+                    .filter(|(_, t)| t.phase != TaskPhase::Ended)
                     .map(|((p, _), _)| specs[&p.job].gpus)
                     .sum();
                 if used + spec.gpus > rig.gpus + 1e-9 {
@@ -307,12 +314,12 @@
                 };
                 let spec = &specs[&piece.job];
                 match t.phase {
-                    PiecePhase::Ended => {}
-                    PiecePhase::Running if spec.checkpoint_s > 0.0 && *grace_s >= spec.save_s => {
-                        t.phase = PiecePhase::Saving;
+                    TaskPhase::Ended => {}
+                    TaskPhase::Running if spec.checkpoint_s > 0.0 && *grace_s >= spec.save_s => {
+                        t.phase = TaskPhase::Saving;
                         t.until = now + Millis::from_secs(spec.save_s);
                     }
-                    PiecePhase::Saving if *grace_s > 0.0 => {}
+                    TaskPhase::Saving if *grace_s > 0.0 => {}
                     _ => Self::end(t, Cause::Stopped),
                 }
             }
@@ -321,7 +328,7 @@
                 if self
                     .tasks
                     .get(&key)
-                    .is_some_and(|t| t.phase == PiecePhase::Ended)
+                    .is_some_and(|t| t.phase == TaskPhase::Ended)
                 {
                     self.tasks.remove(&key);
                 }
@@ -332,8 +339,8 @@
 
 /// Gangs across machines: they start together, end together, and miss a member that is gone.
 pub fn gangs(now: Millis, workers: &mut BTreeMap<HostId, Worker>, specs: &Specs, times: &Times) {
-    let mut by_try: BTreeMap<(JobId, Try), Vec<PiecePhase>> = BTreeMap::new();
-    let mut done: BTreeSet<(JobId, Try)> = BTreeSet::new();
+    let mut by_try: BTreeMap<(JobId, Attempt), Vec<TaskPhase>> = BTreeMap::new();
+    let mut done: BTreeSet<(JobId, Attempt)> = BTreeSet::new();
     for w in workers.values() {
         for ((p, a), t) in &w.tasks {
             if specs[&p.job].shape != Shape::Gang {
@@ -343,7 +350,7 @@
             if t.cause == Some(Cause::Done) {
                 done.insert(key.clone());
             }
-            if t.phase != PiecePhase::Ended && w.awake(now) {
+            if t.phase != TaskPhase::Ended && w.awake(now) {
                 by_try.entry(key).or_default().push(t.phase);
             }
         }
@@ -357,11 +364,11 @@
             };
             let all = phases.len() == spec.pieces as usize;
             match t.phase {
-                PiecePhase::Waiting if all && !phases.contains(&PiecePhase::Fetching) => {
+                TaskPhase::Waiting if all && !phases.contains(&TaskPhase::Fetching) => {
                     Worker::run(now, t)
                 }
-                PiecePhase::Running if done.contains(&key) => Worker::end(t, Cause::Done),
-                PiecePhase::Running
+                TaskPhase::Running if done.contains(&key) => Worker::end(t, Cause::Done),
+                TaskPhase::Running
                     if !all && now - t.running_from > Millis::from_secs(times.gang_peer_s) =>
                 {
                     Worker::end(t, Cause::MatesGone)
