--- /dev/null
+++ b/tests/connections.rs
@@ -0,0 +1,29 @@
+//! The table of connections of the HTTP server: who gives way when it is full.
+
+use chalklug::transport::server::{ConnectionTable, Rank};
+use tokio_util::sync::CancellationToken;
+
+#[test]
+fn a_full_table_gives_up_the_lowest_rank_and_what_lay_idle_longest() {
+    let table = ConnectionTable::new(3);
+    let tokens: Vec<_> = (0..6).map(|_| CancellationToken::new()).collect();
+    let worker = table.take(tokens[0].clone());
+    table.set_rank(worker, Rank(1));
+    let user = table.take(tokens[1].clone());
+    let busy = table.take(tokens[2].clone());
+    table.begin_request(busy);
+    table.begin_request(user);
+    table.end_request(user);
+    table.take(tokens[3].clone());
+    assert!(
+        tokens[1].is_cancelled(),
+        "an idle user goes before a worker"
+    );
+    let last = table.take(tokens[4].clone());
+    assert!(tokens[3].is_cancelled(), "and before a request under way");
+    assert!(!tokens[0].is_cancelled() && !tokens[2].is_cancelled());
+    assert_eq!(table.taken(), 3);
+    table.set_rank(last, Rank(1));
+    table.take(tokens[5].clone());
+    assert!(tokens[0].is_cancelled(), "of workers the longest idle");
+}
