--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -6,8 +6,9 @@
 //! is up (on a day of 58 rentals, 17 machines had never run a task), and against renting too late for
 //! a burst, each of whose tasks by itself would not wait longer than for a new machine.
 
+use super::candidates::emptiness;
 use super::fleet::Kind;
-use super::placement::{emptiness, Unmet};
+use super::placement::Unmet;
 use super::Core;
 use crate::ids::{HostId, Image, Millis, Zone};
 use crate::protocol::users::{JobSpec, Shape};
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,7 @@
 //! out, and check the leader's authority again as each one leaves.
 
 pub mod ageing;
+mod candidates;
 pub mod demand;
 pub mod estimates;
 pub mod fleet;
@@ -14,6 +15,7 @@
 pub mod placement;
 pub mod preemption;
 pub mod recovery;
+mod reservations;
 pub mod standby;
 pub mod starts;
 pub mod stops;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,15 +5,14 @@
 //! team's guarantee comes first, then priority, then the least slack.
 
 use super::graph::Label;
-use super::worker_sessions::MAX_LISTED;
 use super::Core;
 use crate::ids::{Attempt, HostId, JobId, MachineType, Millis, TaskId, TeamNo, Zone};
 use crate::protocol::users::{JobSpec, Shape, Urgency};
 use crate::storage::ledger::{within, Amount, Job, Machine, MachineState};
 use crate::storage::pages::StartKey;
 use crate::transport::budget::Budget;
-use std::cmp::{Ordering, Reverse};
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What is left to place after a pass, in queue order.
 #[derive(Debug, Clone)]
@@ -22,17 +21,8 @@
     pub count: u32,
 }
 
-/// Seconds a machine with another label is worse by; all preferences are in seconds of waiting.
-const OTHER_LABEL_S: f64 = 1.0;
-/// Seconds an ordinary machine is worse by for a job that may use spot machines: it keeps ordinary
-/// machines free for jobs that may not.
-const ORDINARY_S: f64 = 2.0;
-/// Seconds a whole empty machine is worse by than a full one: packs tasks, leaves whole machines.
-const EMPTY_S: f64 = 3.0;
 /// A task of a job that failed on several machines has run for this long: the job isn't mistaken.
 const PROVEN: Millis = Millis(6_000);
-/// Machines a job has failed on are avoided up to this many; past it, it is the job that is bad.
-const AVOID: usize = 3;
 
 /// Tasks placed each second for each core of this process's quota, and seconds' worth of them at once.
 ///
@@ -53,7 +43,7 @@
     /// What teams use, and what is kept for jobs that their team's limit holds up.
     pub(super) used: Vec<Amount>,
     /// Machines kept for large tasks.
-    kept: BTreeSet<HostId>,
+    pub(super) kept: BTreeSet<HostId>,
     /// Jobs for which a machine was emptied.
     pub(super) favoured: BTreeSet<JobId>,
     /// Needs for which there was no room: nothing as large or larger has to look again.
@@ -61,7 +51,7 @@
     placed: usize,
     most_placed: usize,
     /// Only machines that have the image will do for now.
-    cached: bool,
+    pub(super) cached: bool,
     /// The least urgent of all open jobs.
     least_urgent: Option<Urgency>,
     /// Jobs for which it was looked whether machines with their image can be emptied.
@@ -98,49 +88,6 @@
     }
 }
 
-/// A machine that may take a task, as a pass sees it; the cheapest is the greatest.
-struct Candidate {
-    cost: f64,
-    fixed: f64,
-    room: Amount,
-    host: HostId,
-    site: Zone,
-    whole: Amount,
-    listed: usize,
-}
-
-impl Candidate {
-    fn price(mut self) -> Candidate {
-        self.cost = self.fixed + emptiness(&self.room, &self.whole) * EMPTY_S;
-        self
-    }
-}
-
-impl PartialEq for Candidate {
-    fn eq(&self, o: &Self) -> bool {
-        self.cmp(o) == Ordering::Equal
-    }
-}
-impl Eq for Candidate {}
-impl PartialOrd for Candidate {
-    fn partial_cmp(&self, o: &Self) -> Option<Ordering> {
-        Some(self.cmp(o))
-    }
-}
-impl Ord for Candidate {
-    fn cmp(&self, o: &Self) -> Ordering {
-        o.cost
-            .total_cmp(&self.cost)
-            .then_with(|| o.host.cmp(&self.host))
-    }
-}
-
-/// The larger part of a machine that is free.
-pub(super) fn emptiness(room: &Amount, whole: &Amount) -> f64 {
-    let part = |free: f64, all: f64| if all > 0.0 { free / all } else { 0.0 };
-    part(room.gpus, whole.gpus).max(part(room.cpus, whole.cpus))
-}
-
 impl Core {
     /// Whether a machine may be given new work at all.
     pub(crate) fn usable(&self, m: &Machine, now: Millis) -> bool {
@@ -511,64 +458,6 @@
         left
     }
 
-    /// Guards against a task of a whole machine that never finds one, because small tasks fill
-    /// every gap and no more machines are to be had: the emptiest that it may use takes nothing
-    /// more from jobs behind it.
-    fn keep_a_machine(&self, now: Millis, spec: &JobSpec, pass: &mut Pass) {
-        let need = Amount::of(spec);
-        let best = self
-            .indexes
-            .spacious
-            .iter()
-            .filter(|h| !pass.kept.contains(*h))
-            .filter_map(|h| self.machines.get(h))
-            .filter(|m| Self::allows(spec, m) && self.usable(m, now))
-            .map(|m| (m, self.capacity(&m.rig)))
-            .filter(|(_, whole)| need.fits(whole))
-            .map(|(m, whole)| (emptiness(&m.free, &whole), &m.id))
-            .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
-        if let Some((_, host)) = best {
-            pass.kept.insert(host.clone());
-        }
-    }
-
-    /// Holds machines for a job that could not be placed.
-    fn hold_for(&self, now: Millis, spec: &JobSpec, gang: bool, aged: bool, pass: &mut Pass) {
-        let several = gang && spec.pieces > 1;
-        if several && (aged || self.bulk(spec)) {
-            self.hold_machines(now, spec, pass);
-        }
-        if (several && aged) || (self.bulk(spec) && (aged || !self.may_rent(now, spec))) {
-            let n = if several { spec.pieces } else { 1 };
-            for _ in 0..n {
-                self.keep_a_machine(now, spec, pass);
-            }
-        }
-    }
-
-    /// Guards against a gang of several machines that never finds them at once, because what comes
-    /// free is taken by whatever needs less: those that it could use are held for it.
-    fn hold_machines(&self, now: Millis, spec: &JobSpec, pass: &mut Pass) {
-        let need = Amount::of(spec);
-        let mut fit: BTreeMap<Option<&Zone>, Vec<&HostId>> = BTreeMap::new();
-        for m in self
-            .indexes
-            .spacious
-            .iter()
-            .filter_map(|h| self.machines.get(h))
-        {
-            let free = need.fits(&m.free) && Self::allows(spec, m) && self.usable(m, now);
-            if free && !pass.kept.contains(&m.id) {
-                let zone = spec.together.then_some(&m.site);
-                fit.entry(zone).or_default().push(&m.id);
-            }
-        }
-        let most = fit.into_values().max_by_key(Vec::len).unwrap_or_default();
-        for host in most.into_iter().take(spec.pieces as usize) {
-            pass.kept.insert(host.clone());
-        }
-    }
-
     /// The zones to try in turn: None stands for all at once.
     fn zone_choices(
         &self,
@@ -621,89 +510,4 @@
             && spec.site.as_ref().is_none_or(|s| *s == m.site)
             && spec.rigs.as_ref().is_none_or(|r| r.contains(&m.rig))
     }
-
-    /// Chooses machines for as many of the tasks as fit.
-    pub(super) fn plan(
-        &self,
-        now: Millis,
-        id: &JobId,
-        spec: &JobSpec,
-        pending: &[u32],
-        zone: Option<&Zone>,
-        pass: &Pass,
-    ) -> Vec<(u32, HostId)> {
-        let Some(job) = self.jobs.get(id) else {
-            return Vec::new();
-        };
-        let need = Amount::of(spec);
-        let latency = self.graph.label(id) == Label::Latency;
-        let avoid = job.failed_on.len() <= AVOID;
-        let aged = self.aged(job, now);
-        let mut zones = if spec.scatter {
-            self.zones_of(job)
-        } else {
-            BTreeMap::new()
-        };
-        let most_in_zone = spec.pieces.div_ceil(2);
-        // Machines that may take it, with what does not change as tasks are added.
-        let mut heap: BinaryHeap<Candidate> = self
-            .indexes
-            .spacious
-            .iter()
-            .filter_map(|h| self.machines.get(h))
-            .filter(|m| need.fits(&m.free) && m.starts.len() < MAX_LISTED)
-            .filter(|m| Self::allows(spec, m) && zone.is_none_or(|z| *z == m.site))
-            .filter(|m| self.usable(m, now) && !pass.kept.contains(&m.id))
-            .filter(|m| !pass.cached || m.has_image(&spec.image))
-            .filter(|m| !(avoid && job.failed_on.contains(&m.id)))
-            .filter(|m| {
-                m.kept_for
-                    .as_ref()
-                    .is_none_or(|(j, t)| j == id || now >= *t)
-            })
-            .filter(|m| aged || self.reserved.get(&m.id).is_none_or(|c| *c == spec.class))
-            .map(|m| {
-                Candidate {
-                    cost: 0.0,
-                    fixed: self.wait_for_image(now, m, spec) + Self::dislike(m, spec, latency),
-                    room: m.free,
-                    host: m.id.clone(),
-                    site: m.site.clone(),
-                    whole: self.capacity(&m.rig),
-                    listed: m.starts.len(),
-                }
-                .price()
-            })
-            .collect();
-        let mut plan: Vec<(u32, HostId)> = Vec::new();
-        for index in pending {
-            let Some(mut best) = heap.pop() else { break };
-            while spec.scatter && zones.get(&best.site).copied().unwrap_or(0) >= most_in_zone {
-                // That zone is full, and stays so.
-                match heap.pop() {
-                    Some(next) => best = next,
-                    None => return plan,
-                }
-            }
-            plan.push((*index, best.host.clone()));
-            best.room.sub(&need);
-            best.listed += 1;
-            *zones.entry(best.site.clone()).or_default() += 1;
-            if need.fits(&best.room) && best.listed < MAX_LISTED {
-                heap.push(best.price());
-            }
-        }
-        plan
-    }
-
-    fn dislike(m: &Machine, spec: &JobSpec, latency: bool) -> f64 {
-        let mut cost = 0.0;
-        if spec.spot && !m.spot {
-            cost += ORDINARY_S;
-        }
-        if m.going().any(|s| s.latency != latency) {
-            cost += OTHER_LABEL_S;
-        }
-        cost
-    }
 }
