Placement never stops, however small the quota; a job waits 30 s at most for machines with its image

Found while rereading: with quota.cores of 0 the pace would have been 0, and nothing bounded how often machines with its image could be emptied in vain for one job. Test placement_goes_on_without_a_quota.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -31,6 +31,10 @@
 /// was over before the answers to its renewals had been read.
 const PLACED_PER_CORE_S: f64 = 7_500.0;
 const PLACED_BURST_S: f64 = 5.0;
+/// However small the quota, or if it is none: placement never stops.
+const LEAST_PLACED_S: f64 = 100.0;
+/// A job that was submitted longer ago than this takes any machine rather than one with its image.
+const LONGEST_IMAGE_WAIT: Millis = Millis(30_000);
 /// A pass for fewer tasks than this is not worth the look at the whole queue.
 const LEAST_PLACED: usize = 20;
 /// Tasks placed in one pass: what is left is placed in the next one, so that reports and the
@@ -271,7 +275,7 @@
 
     /// The rate at which a process with so many cores can place tasks and keep up with what comes of them.
     pub(super) fn placement_budget(cores: f64) -> Budget {
-        let per_s = cores * PLACED_PER_CORE_S;
+        let per_s = (cores * PLACED_PER_CORE_S).max(LEAST_PLACED_S);
         let burst = (per_s * PLACED_BURST_S).max(MOST_PLACED as f64);
         Budget::new(per_s, burst)
     }
@@ -288,7 +292,8 @@
             self.dirty = true;
             return;
         }
-        if self.may_take_machines(&id, pass) && self.takes_machines_with_image(now, &id, pass) {
+        if self.may_take_machines(now, &id, pass) && self.takes_machines_with_image(now, &id, pass)
+        {
             return;
         }
         let count = self.place_job(now, &id, pass);
@@ -304,14 +309,17 @@
 
     /// Whether a gang is more urgent than other work, may start as far as its team's limit goes, and is
     /// nowhere yet.
-    fn may_take_machines(&self, id: &JobId, pass: &Pass) -> bool {
+    fn may_take_machines(&self, now: Millis, id: &JobId, pass: &Pass) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
         let above_others = pass
             .least_urgent
             .is_some_and(|least| least < job.spec.urgency);
-        let candidate = above_others && job.spec.shape == Shape::Gang && job.places.is_empty();
+        // Guards against a job for which machine after machine is emptied in vain: it goes anywhere then.
+        let young = now - job.submitted < LONGEST_IMAGE_WAIT;
+        let candidate =
+            young && above_others && job.spec.shape == Shape::Gang && job.places.is_empty();
         let head = || self.headroom(&job.spec, job.team, &pass.used) as usize;
         candidate && head() >= job.pending.len()
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -286,20 +286,26 @@
     tasks.into_iter().map(|(job, t)| (job, t.len())).collect()
 }
 
-/// What comes of placed tasks takes far more of the processor than placing them: a huge job of tiny tasks
-/// is started at a pace that the process can keep up with, and what is more urgent doesn't wait for it.
-#[test]
-fn a_huge_job_is_started_at_a_pace() {
-    let mut now = Millis(1000);
+/// The core of a new leader to which every machine has reported that nothing is on it.
+fn idle_fleet(policy: Arc<Policy>, now: Millis) -> Core {
     let mut found = inherited();
     found.open.clear();
     found.intents.clear();
-    let mut core = Core::take_over(policy(), lead(9), now, found).unwrap();
+    let mut core = Core::take_over(policy, lead(9), now, found).unwrap();
     for n in 0..MACHINES {
         let mut empty = report(n, 1, 9, 0);
         empty.pieces.clear();
         core.check_in(now, &empty);
     }
+    core
+}
+
+/// What comes of placed tasks takes far more of the processor than placing them: a huge job of tiny tasks
+/// is started at a pace that the process can keep up with, and what is more urgent doesn't wait for it.
+#[test]
+fn a_huge_job_is_started_at_a_pace() {
+    let mut now = Millis(1000);
+    let mut core = idle_fleet(policy(), now);
     core.on(now, job("wk-900001", "low", 24_000));
     let huge = JobId::from("wk-900001");
     let recorded = starts_recorded(&mut core, &mut now, Millis(5000))[&huge];
@@ -314,6 +320,18 @@
     core.audit().unwrap();
 }
 
+/// A quota of no processor at all is a mistake of whoever wrote the settings: work goes on all the same.
+#[test]
+fn placement_goes_on_without_a_quota() {
+    let mut now = Millis(1000);
+    let mut policy = (*policy()).clone();
+    policy.facts.quota.cores = 0.0;
+    let mut core = idle_fleet(Arc::new(policy), now);
+    core.on(now, job("wk-900001", "low", 24_000));
+    let recorded = starts_recorded(&mut core, &mut now, Millis(11_000));
+    assert!(recorded[&JobId::from("wk-900001")] > 1_000);
+}
+
 /// Operators are told why work stands: the log's lines come from here.
 #[test]
 fn each_waiting_job_has_a_reason() {
