--- a/src/coordination/ageing.rs
+++ b/src/coordination/ageing.rs
@@ -91,7 +91,7 @@
         let Some(job) = self.jobs.get(id) else {
             return;
         };
-        let late = now - job.submitted > self.late_after();
+        let late = now - job.ready > self.late_after();
         for group in self.groups_of(job) {
             let none = Begun {
                 in_time: 0.0,
@@ -118,7 +118,7 @@
             .iter()
             .filter_map(|id| self.jobs.get(id))
         {
-            if !job.begun && now - job.submitted > bound {
+            if !job.begun && now - job.ready > bound {
                 for group in self.groups_of(job) {
                     sums.entry(group).or_default().1 += 1.0;
                 }
@@ -138,7 +138,7 @@
     pub(crate) fn aged(&self, job: &Job, now: Millis) -> bool {
         !self.ageing.endangered.is_empty()
             && !job.begun
-            && now - job.submitted > self.late_after()
+            && now - job.ready > self.late_after()
             && self
                 .groups_of(job)
                 .iter()
--- a/src/coordination/candidates.rs
+++ b/src/coordination/candidates.rs
@@ -90,10 +90,7 @@
         let most_in_zone = spec.pieces.div_ceil(2);
         // Machines that may take it, with what does not change as tasks are added.
         let mut heap: BinaryHeap<Candidate> = self
-            .indexes
-            .spacious
-            .iter()
-            .filter_map(|h| self.machines.get(h))
+            .with_room_for(spec)
             .filter(|m| need.fits(&m.free) && m.starts.len() < MAX_LISTED)
             .filter(|m| Self::allows(spec, m) && zone.is_none_or(|z| *z == m.site))
             .filter(|m| self.usable(m, now) && !pass.kept.contains(&m.id))
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -452,6 +452,7 @@
                 tracing::debug!(host = %h, drain = m.drain, failed = m.list_failed, heard = ?m.heard, "returning");
                 m.state = MachineState::Returning;
                 self.indexes.spacious.remove(h);
+                self.indexes.cpus_left.remove(h);
                 // Not asked again while the answer is awaited.
                 m.direct_after = now + Millis(10_000);
             }
--- a/src/coordination/graph.rs
+++ b/src/coordination/graph.rs
@@ -1,9 +1,15 @@
 //! The job graph, after Parrot: a job's output is a variable, an edge leads from its producer to
-//! each consumer. A job is released when its last producer finishes; labels are walked backwards
-//! from outputs with a deadline; parallel jobs at one stage form a task group.
+//! each consumer. A job is released when the finish mark of its last producer is durable; deadlines,
+//! labels and priorities are walked backwards from the consumers; parallel jobs at one stage form a
+//! task group.
+//!
+//! The graph says what changed (`take_changes`), and which producers' finish marks have to be read
+//! because nothing is known of them here (`unknown`). A release is never decided on anything but a
+//! finish mark.
 
 use crate::ids::{JobId, Millis};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::protocol::users::Urgency;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How a job is to be served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -14,116 +20,264 @@
     Throughput,
 }
 
+/// How many steps before an output with a deadline jobs are still latency jobs.
+const LATENCY_STEPS: u32 = 2;
+
+/// What a job brings into the graph.
+#[derive(Clone, Copy, Debug)]
+pub struct JobTraits {
+    /// Its own deadline.
+    pub due: Option<Millis>,
+    /// How long it should take from its release to its end.
+    pub run: Millis,
+    /// Its own priority.
+    pub urgency: Urgency,
+}
+
+/// What follows for a job from its own traits and those of all jobs that need it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Derived {
+    /// The longest path of unfinished producers before it.
+    depth: u32,
+    label: Label,
+    /// The time by which it has to be done for every deadline behind it.
+    due: Option<Millis>,
+    urgency: Urgency,
+}
+
+impl Derived {
+    /// What holds for a job that nothing depends on and that depends on nothing.
+    fn alone(traits: &JobTraits) -> Derived {
+        Derived {
+            depth: 0,
+            label: match traits.due {
+                Some(_) => Label::Latency,
+                None => Label::Throughput,
+            },
+            due: traits.due,
+            urgency: traits.urgency,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NodeState {
+    /// Waits for producers.
     Waiting,
+    /// May run.
     Released,
-    Finished,
-    Failed,
+    /// Its finish mark is durable, since about then.
+    Finished(Millis),
+    /// Cancelled by its user, or needs a job that was.
+    Cancelled,
+    /// No longer open; whether it was finished or cancelled is not known.
+    Closed,
+}
+
+impl NodeState {
+    fn open(self) -> bool {
+        matches!(self, NodeState::Waiting | NodeState::Released)
+    }
 }
 
 #[derive(Debug)]
 struct Node {
     after: Vec<JobId>,
+    /// Producers whose finish mark is not known to be durable.
+    missing: BTreeSet<JobId>,
+    /// When the last known finish mark of a producer was written.
+    last_finish: Option<Millis>,
     state: NodeState,
-    due: Option<Millis>,
-    depth: u32,
-    label: Label,
-    /// Earliest deadline of this job and all behind it.
-    pressing: Option<Millis>,
+    traits: JobTraits,
+    derived: Derived,
+}
+
+/// A job that has been released, and when its last producer finished, if it had one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Release {
+    pub id: JobId,
+    pub at: Option<Millis>,
+}
+
+/// What has changed since it was last asked.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    pub released: Vec<Release>,
+    /// Open jobs of which an ancestor is cancelled.
+    pub cancelled: Vec<JobId>,
 }
 
 /// The graph.
 #[derive(Debug, Default)]
 pub struct Graph {
     nodes: BTreeMap<JobId, Node>,
-    /// Finished jobs that are forgotten but still named as producers.
-    finished: BTreeSet<JobId>,
+    /// Finished jobs that are forgotten but still named as producers, and when they finished.
+    finished: BTreeMap<JobId, Millis>,
     consumers: BTreeMap<JobId, BTreeSet<JobId>>,
+    /// Producers of waiting jobs whose finish mark has to be read.
+    unknown: BTreeSet<JobId>,
+    changes: Changes,
+    /// Jobs with more than their own traits to go by, as of the last `refresh`.
+    linked: BTreeSet<JobId>,
+    /// Edges or states changed since the last `refresh`.
+    stale: bool,
 }
 
 impl Graph {
-    /// Adds a job with its producers and, if it has one, its deadline.
-    pub fn add(&mut self, id: &JobId, after: &[JobId], due: Option<Millis>) {
-        for p in after {
-            self.consumers
-                .entry(p.clone())
-                .or_default()
-                .insert(id.clone());
-        }
-        let node = Node {
+    /// Adds a job with its producers.
+    pub fn add(&mut self, id: &JobId, after: &[JobId], traits: JobTraits) {
+        self.unknown.remove(id);
+        let mut node = Node {
             after: after.to_vec(),
+            missing: BTreeSet::new(),
+            last_finish: None,
             state: NodeState::Waiting,
-            due,
-            depth: 0,
-            label: Label::Throughput,
-            pressing: due,
+            traits,
+            derived: Derived::alone(&traits),
         };
+        let mut cancelled = false;
+        for producer in after {
+            let consumers = self.consumers.entry(producer.clone()).or_default();
+            consumers.insert(id.clone());
+            match self.state_of(producer) {
+                Some(NodeState::Finished(at)) => node.last_finish = node.last_finish.max(Some(at)),
+                Some(NodeState::Cancelled) => cancelled = true,
+                Some(NodeState::Waiting | NodeState::Released) => {
+                    node.missing.insert(producer.clone());
+                }
+                Some(NodeState::Closed) | None => {
+                    node.missing.insert(producer.clone());
+                    self.unknown.insert(producer.clone());
+                }
+            }
+        }
+        self.stale |= !after.is_empty() || self.consumers.contains_key(id);
         self.nodes.insert(id.clone(), node);
-        self.release_if_ready(id);
-        self.relabel(id);
+        if cancelled {
+            self.cancel_open(id.clone());
+        } else {
+            self.release_if_ready(id);
+        }
     }
 
-    /// A producer's finish mark is known, though the job itself isn't held here.
-    pub fn known_finished(&mut self, id: &JobId) {
-        self.finished.insert(id.clone());
-        self.finished(id);
+    fn state_of(&self, id: &JobId) -> Option<NodeState> {
+        let node = self.nodes.get(id).map(|n| n.state);
+        node.or_else(|| self.finished.get(id).map(|at| NodeState::Finished(*at)))
     }
 
-    /// A job finished: consumers whose last producer it was are released.
-    pub fn finished(&mut self, id: &JobId) {
-        if let Some(n) = self.nodes.get_mut(id) {
-            n.state = NodeState::Finished;
+    /// A job's finish mark is durable, since about the given time: consumers whose last producer it
+    /// was are released.
+    pub fn finished(&mut self, id: &JobId, at: Millis) {
+        self.unknown.remove(id);
+        let Some(consumers) = self.consumers.get(id).cloned() else {
+            self.set_state(id, NodeState::Finished(at));
+            return;
+        };
+        if !self.set_state(id, NodeState::Finished(at)) {
+            self.finished.insert(id.clone(), at);
         }
-        for c in self.consumers.get(id).cloned().unwrap_or_default() {
-            self.release_if_ready(&c);
+        self.stale = true;
+        for consumer in consumers {
+            if let Some(node) = self.nodes.get_mut(&consumer) {
+                node.missing.remove(id);
+                node.last_finish = node.last_finish.max(Some(at));
+            }
+            self.release_if_ready(&consumer);
         }
     }
 
-    /// A job failed (its user cancelled it): its consumers, and theirs, fail too. They are never
-    /// released; their users may cancel them. Nobody calls them cancelled before that.
-    pub fn failed(&mut self, id: &JobId) {
-        let mut todo = vec![id.clone()];
-        while let Some(id) = todo.pop() {
-            if let Some(n) = self.nodes.get_mut(&id) {
-                if matches!(n.state, NodeState::Failed | NodeState::Finished) {
-                    continue;
-                }
-                n.state = NodeState::Failed;
-            }
-            todo.extend(self.consumers.get(&id).into_iter().flatten().cloned());
+    /// A job is cancelled: all open jobs that need it, directly or through others, are too.
+    pub fn cancelled(&mut self, id: &JobId) {
+        self.unknown.remove(id);
+        self.set_state(id, NodeState::Cancelled);
+        let consumers = self.consumers.get(id).into_iter().flatten();
+        let mut todo: Vec<JobId> = consumers.cloned().collect();
+        while let Some(next) = todo.pop() {
+            todo.extend(self.cancel_open(next));
         }
     }
 
+    /// Cancels one job that needs a cancelled one; says which others need it in turn.
+    fn cancel_open(&mut self, id: JobId) -> Vec<JobId> {
+        let Some(node) = self.nodes.get_mut(&id).filter(|n| n.state.open()) else {
+            return Vec::new();
+        };
+        node.state = NodeState::Cancelled;
+        self.stale = true;
+        let consumers = self.consumers.get(&id).into_iter().flatten();
+        let consumers = consumers.cloned().collect();
+        self.changes.cancelled.push(id);
+        consumers
+    }
+
+    /// A job is no longer open, and whether it was finished or cancelled is not known: its mark has to
+    /// be read if a job waits for it.
+    pub fn closed(&mut self, id: &JobId) {
+        if !self.nodes.get(id).is_some_and(|n| n.state.open()) {
+            return;
+        }
+        self.set_state(id, NodeState::Closed);
+        if self.has_consumers(id) {
+            self.unknown.insert(id.clone());
+        }
+    }
+
+    /// Whether the job is held here; its state is the given one then.
+    fn set_state(&mut self, id: &JobId, state: NodeState) -> bool {
+        let Some(node) = self.nodes.get_mut(id) else {
+            return false;
+        };
+        node.state = state;
+        self.stale |= !node.after.is_empty() || self.consumers.contains_key(id);
+        true
+    }
+
+    /// What has changed since this was last called.
+    pub fn take_changes(&mut self) -> Changes {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Producers of which nothing is known here, after the given one in order and then from the start:
+    /// their finish marks have to be read. At most so many.
+    pub fn unknown_after(&self, last: Option<&JobId>, most: usize) -> Vec<JobId> {
+        let behind = self.unknown.iter().filter(|id| Some(*id) > last);
+        let before = self.unknown.iter().filter(|id| Some(*id) <= last);
+        behind.chain(before).take(most).cloned().collect()
+    }
+
+    /// Whether a job waits, or waited, for this one.
+    pub fn has_consumers(&self, id: &JobId) -> bool {
+        self.consumers.contains_key(id)
+    }
+
     /// The once-a-second recheck: whatever should have been released is.
     pub fn recheck(&mut self) {
-        let waiting: Vec<JobId> = self
-            .nodes
-            .iter()
-            .filter(|(_, n)| n.state == NodeState::Waiting)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in waiting {
+        let waiting = self.nodes.iter();
+        let waiting = waiting.filter(|(_, n)| n.state == NodeState::Waiting);
+        let ready = waiting.filter(|(_, n)| n.missing.is_empty());
+        for id in ready.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
             self.release_if_ready(&id);
         }
     }
 
     /// A job over and gone. It stays known as finished while a consumer names it.
     pub fn forget(&mut self, id: &JobId) {
-        let Some(n) = self.nodes.remove(id) else {
+        let Some(node) = self.nodes.remove(id) else {
             return;
         };
-        for p in n.after {
-            if let Some(c) = self.consumers.get_mut(&p) {
-                c.remove(id);
-                if c.is_empty() {
-                    self.consumers.remove(&p);
-                    self.finished.remove(&p);
+        self.linked.remove(id);
+        for producer in node.after {
+            if let Some(consumers) = self.consumers.get_mut(&producer) {
+                consumers.remove(id);
+                if consumers.is_empty() {
+                    self.consumers.remove(&producer);
+                    self.finished.remove(&producer);
+                    self.unknown.remove(&producer);
                 }
             }
         }
-        if n.state == NodeState::Finished && self.consumers.contains_key(id) {
-            self.finished.insert(id.clone());
+        if let (NodeState::Finished(at), true) = (node.state, self.has_consumers(id)) {
+            self.finished.insert(id.clone(), at);
         }
     }
 
@@ -134,146 +288,167 @@
             .is_some_and(|n| n.state == NodeState::Released)
     }
 
+    fn derived(&self, id: &JobId) -> Option<&Derived> {
+        self.nodes.get(id).map(|n| &n.derived)
+    }
+
     /// The label; unknown jobs are throughput.
     pub fn label(&self, id: &JobId) -> Label {
-        self.nodes.get(id).map_or(Label::Throughput, |n| n.label)
+        self.derived(id).map_or(Label::Throughput, |d| d.label)
     }
 
-    /// The place in topological order: producers before consumers.
+    /// The place in topological order: unfinished producers before consumers.
     pub fn depth(&self, id: &JobId) -> u32 {
-        self.nodes.get(id).map_or(0, |n| n.depth)
+        self.derived(id).map_or(0, |d| d.depth)
     }
 
-    /// The earliest deadline that waits for this job.
-    pub fn pressing(&self, id: &JobId) -> Option<Millis> {
-        self.nodes.get(id).and_then(|n| n.pressing)
+    /// The time by which the job has to be done for its own deadline and all behind it.
+    pub fn due(&self, id: &JobId) -> Option<Millis> {
+        self.derived(id).and_then(|d| d.due)
     }
 
-    /// The task group: parallel latency jobs at one stage before the same consumers. A job by
-    /// itself (as all deployed jobs are today) is a group of its own tasks.
+    /// The highest priority of the job and of all that need it; None if it is not held here.
+    pub fn urgency(&self, id: &JobId) -> Option<Urgency> {
+        self.derived(id).map(|d| d.urgency)
+    }
+
+    /// The task group: parallel latency jobs at one stage before the same consumers. A job without
+    /// consumers is a group of its own tasks.
     pub fn group(&self, id: &JobId) -> Vec<JobId> {
-        let alone = vec![id.clone()];
+        let alone = || vec![id.clone()];
         let (Some(node), Some(mine)) = (self.nodes.get(id), self.consumers.get(id)) else {
-            return alone;
+            return alone();
         };
-        if node.label != Label::Latency {
-            return alone;
+        if node.derived.label != Label::Latency {
+            return alone();
         }
-        let Some(first) = mine.first() else {
-            return alone;
+        let Some(consumer) = mine.first().and_then(|c| self.nodes.get(c)) else {
+            return alone();
         };
-        let Some(consumer) = self.nodes.get(first) else {
-            return alone;
+        let alike = |p: &&JobId| {
+            self.nodes.get(*p).is_some_and(|other| {
+                other.state.open()
+                    && other.derived.depth == node.derived.depth
+                    && other.derived.label == Label::Latency
+                    && self.consumers.get(*p) == Some(mine)
+            })
         };
-        consumer
-            .after
-            .iter()
-            .filter(|p| self.depth(p) == node.depth && self.consumers.get(*p) == Some(mine))
-            .filter(|p| self.label(p) == Label::Latency)
-            .cloned()
-            .collect()
+        let group: Vec<JobId> = consumer.after.iter().filter(alike).cloned().collect();
+        if group.is_empty() {
+            alone()
+        } else {
+            group
+        }
     }
 
     fn release_if_ready(&mut self, id: &JobId) {
-        let Some(n) = self.nodes.get(id) else { return };
-        if n.state != NodeState::Waiting {
+        let Some(node) = self.nodes.get_mut(id) else {
             return;
-        }
-        let producer = |p: &JobId| match self.nodes.get(p) {
-            Some(p) => p.state,
-            None if self.finished.contains(p) => NodeState::Finished,
-            None => NodeState::Waiting,
         };
-        let states: Vec<NodeState> = n.after.iter().map(producer).collect();
-        let next = if states.contains(&NodeState::Failed) {
-            NodeState::Failed
-        } else if states.iter().all(|s| *s == NodeState::Finished) {
-            NodeState::Released
-        } else {
+        if node.state != NodeState::Waiting || !node.missing.is_empty() {
+            return;
+        }
+        node.state = NodeState::Released;
+        self.changes.released.push(Release {
+            id: id.clone(),
+            at: node.last_finish,
+        });
+    }
+
+    /// Derives deadlines, labels and priorities anew if anything changed; linear in the jobs that have
+    /// producers or consumers.
+    pub fn refresh(&mut self) {
+        if !std::mem::take(&mut self.stale) {
             return;
-        };
-        if let Some(n) = self.nodes.get_mut(id) {
-            n.state = next;
         }
-        if next == NodeState::Failed {
-            for c in self.consumers.get(id).cloned().unwrap_or_default() {
-                self.release_if_ready(&c);
+        for id in std::mem::take(&mut self.linked) {
+            if let Some(node) = self.nodes.get_mut(&id) {
+                node.derived = Derived::alone(&node.traits);
             }
         }
+        let order = self.topological_order();
+        self.derive_backwards(&order);
+        self.linked = order.into_iter().collect();
     }
 
-    /// Recomputes labels and depths of the pipeline around a new job: only what is connected to it.
-    fn relabel(&mut self, id: &JobId) {
-        let mut part = BTreeSet::new();
-        let mut todo = vec![id.clone()];
-        while let Some(id) = todo.pop() {
-            if !part.insert(id.clone()) {
-                continue;
-            }
-            if let Some(n) = self.nodes.get(&id) {
-                todo.extend(n.after.iter().cloned());
+    /// Open producers of an open job.
+    fn open_producers<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a JobId> {
+        let node = self.nodes.get(id).filter(|n| n.state.open());
+        let missing = node.into_iter().flat_map(|n| &n.missing);
+        missing.filter(|p| self.nodes.get(*p).is_some_and(|n| n.state.open()))
+    }
+
+    /// Open jobs that need an open job.
+    fn open_consumers<'a>(&'a self, id: &JobId) -> impl Iterator<Item = &'a JobId> {
+        let all = self.consumers.get(id).into_iter().flatten();
+        all.filter(|c| self.nodes.get(*c).is_some_and(|n| n.state.open()))
+    }
+
+    /// Open jobs with edges, producers first, with their depths set. Jobs in a cycle, which no accepted
+    /// submission can make, never come up: they keep what is their own and are never released.
+    fn topological_order(&mut self) -> Vec<JobId> {
+        let open = |id: &JobId| self.nodes.get(id).is_some_and(|n| n.state.open());
+        let producers = self.consumers.keys().filter(|id| open(id));
+        let consumers = self.consumers.values().flatten().filter(|id| open(id));
+        let part: BTreeSet<JobId> = producers.chain(consumers).cloned().collect();
+        let mut before: BTreeMap<JobId, usize> = BTreeMap::new();
+        let mut ready: VecDeque<JobId> = VecDeque::new();
+        for id in part {
+            match self.open_producers(&id).count() {
+                0 => ready.push_back(id),
+                n => drop(before.insert(id, n)),
             }
-            todo.extend(self.consumers.get(&id).into_iter().flatten().cloned());
         }
-        // Kahn's order; jobs in a cycle never come up, keep their defaults and are never released.
-        let mut order: Vec<JobId> = Vec::new();
-        let mut placed = BTreeSet::new();
-        loop {
-            let ready: Vec<JobId> = part
-                .iter()
-                .filter(|id| !placed.contains(*id))
-                .filter(|id| {
-                    let after = self.nodes.get(*id).map_or(&[][..], |n| &n.after[..]);
-                    after.iter().all(|p| placed.contains(p))
-                })
-                .cloned()
-                .collect();
-            if ready.is_empty() {
-                break;
-            }
-            let depth = |id: &JobId, g: &Graph| {
-                let after = g.nodes.get(id).map_or(&[][..], |n| &n.after[..]);
-                after.iter().map(|p| g.depth(p) + 1).max().unwrap_or(0)
-            };
-            for id in ready {
-                let d = depth(&id, self);
-                if let Some(n) = self.nodes.get_mut(&id) {
-                    n.depth = d;
-                    n.label = Label::Throughput;
-                    n.pressing = n.due;
+        let mut order = Vec::new();
+        while let Some(id) = ready.pop_front() {
+            let next_depth = self.depth(&id) + 1;
+            for consumer in self.open_consumers(&id).cloned().collect::<Vec<_>>() {
+                if let Some(node) = self.nodes.get_mut(&consumer) {
+                    node.derived.depth = node.derived.depth.max(next_depth);
+                }
+                if let Some(left) = before.get_mut(&consumer) {
+                    *left -= 1;
+                    if *left == 0 {
+                        ready.push_back(consumer);
+                    }
                 }
-                placed.insert(id.clone());
-                order.push(id);
             }
+            order.push(id);
         }
-        // Backwards from outputs: deadlines are inherited by all ancestors, the latency label by
-        // the producers and their immediate predecessors.
+        order
+    }
+
+    /// Backwards from outputs: each producer has to be done before its consumers must begin, and has
+    /// the highest of their priorities; the latency label goes to the producers of an output with a
+    /// deadline and their immediate predecessors.
+    fn derive_backwards(&mut self, order: &[JobId]) {
         let mut steps: BTreeMap<JobId, u32> = BTreeMap::new();
         for id in order.iter().rev() {
-            let Some(n) = self.nodes.get(id) else {
+            let output = self.open_consumers(id).next().is_none();
+            let Some(node) = self.nodes.get_mut(id) else {
                 continue;
             };
-            let (after, pressing) = (n.after.clone(), n.pressing);
-            let is_output = self.consumers.get(id).is_none_or(|c| c.is_empty());
-            let mut near = steps.get(id).copied();
-            if is_output && n.due.is_some() {
-                near = Some(0);
+            let mut step = steps.get(id).copied();
+            if output && node.traits.due.is_some() {
+                step = Some(0);
             }
-            if near.is_some() {
-                if let Some(n) = self.nodes.get_mut(id) {
-                    n.label = Label::Latency;
-                }
-            }
-            for p in after {
-                if let Some(p) = self.nodes.get_mut(&p) {
-                    p.pressing = match (p.pressing, pressing) {
+            node.derived.label = match step {
+                Some(_) => Label::Latency,
+                None => Label::Throughput,
+            };
+            let derived = node.derived;
+            let begin_by = derived.due.map(|due| due - node.traits.run);
+            for producer in self.open_producers(id).cloned().collect::<Vec<_>>() {
+                if let Some(p) = self.nodes.get_mut(&producer) {
+                    p.derived.urgency = p.derived.urgency.max(derived.urgency);
+                    p.derived.due = match (p.derived.due, begin_by) {
                         (Some(a), Some(b)) => Some(a.min(b)),
                         (a, b) => a.or(b),
                     };
                 }
-                if let Some(step) = near.filter(|s| *s < 2) {
-                    let e = steps.entry(p).or_insert(step + 1);
-                    *e = (*e).min(step + 1);
+                if let Some(step) = step.filter(|s| *s < LATENCY_STEPS) {
+                    let nearest = steps.entry(producer).or_insert(step + 1);
+                    *nearest = (*nearest).min(step + 1);
                 }
             }
         }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod ageing;
 mod candidates;
+pub mod chains;
 pub mod demand;
 pub mod estimates;
 pub mod fleet;
@@ -33,10 +34,11 @@
 use crate::protocol::workers::{Order, Report};
 use crate::settings::{Facts, Objective, Operator, Settings, Team};
 use crate::storage::ledger::{Amount, Job, Machine, MachineState};
-use crate::storage::records::OpenRecord;
+use crate::storage::records::{FinalRecord, OpenRecord};
 use crate::transport::budget::Budget;
 use crate::transport::sockets::Sockets;
 use ageing::Ageing;
+use chains::{Closure, MarkReads};
 use fleet::Fleet;
 use graph::Graph;
 use starts::Indexes;
@@ -133,6 +135,10 @@
     },
     /// A job is no longer open: cancelled, or finished by us.
     JobClosed { id: JobId },
+    /// Finish marks as read; None: the job has none.
+    MarksRead {
+        marks: Vec<(JobId, Option<FinalRecord>)>,
+    },
     /// The whole list of open jobs, as read anew (after a gap in the watch).
     OpenJobs {
         jobs: Vec<(OpenRecord, Stamp, Millis)>,
@@ -188,6 +194,10 @@
         seq: u64,
         keys: Vec<String>,
     },
+    /// Read the finish marks of jobs that others wait for.
+    ReadMarks {
+        ids: Vec<JobId>,
+    },
     Direct {
         host: HostId,
         endpoint: String,
@@ -223,6 +233,8 @@
     pub(crate) rigs: BTreeMap<MachineType, MachineTypeInfo>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) graph: Graph,
+    /// The reading of finish marks of producers that are not held here.
+    pub(crate) mark_reads: MarkReads,
     pub(crate) machines: BTreeMap<HostId, Machine>,
     /// What each team uses, and what is looked up often: kept in step by `starts.rs`.
     pub(crate) used: Vec<Amount>,
@@ -308,8 +320,9 @@
                 record,
                 stamp,
                 submitted,
-            } => self.job_opened(*record, stamp, submitted),
-            Event::JobClosed { id } => self.job_closed(now, &id),
+            } => self.job_opened(now, *record, stamp, submitted),
+            Event::JobClosed { id } => self.job_closed(now, &id, Closure::Unknown),
+            Event::MarksRead { marks } => self.marks_read(now, marks),
             Event::OpenJobs { jobs } => self.open_jobs(now, jobs),
             Event::DirectAnswered { host, seq, report } => {
                 self.direct_answered(now, &host, seq, &report)
@@ -337,6 +350,7 @@
         if (now - self.last_recheck).0 >= 1000 {
             self.last_recheck = now;
             self.graph.recheck();
+            self.apply_graph_changes(now);
             self.recheck_machines(now);
             self.recheck_ageing(now);
             self.recheck_images();
@@ -344,10 +358,12 @@
             self.log_state(now);
             self.dirty = true;
         }
+        self.read_marks(now);
         self.stop_unwanted(now);
         if self.dirty && now - self.last_pass >= PASS_EVERY {
             self.last_pass = now;
             self.dirty = false;
+            self.graph.refresh();
             self.choose_standby(now);
             let unmet = self.place(now);
             self.preempt(now, &unmet);
@@ -374,59 +390,6 @@
         job.map_or((0, 0), |j| (j.done.count(), j.running))
     }
 
-    fn job_opened(&mut self, record: OpenRecord, stamp: Stamp, submitted: Millis) {
-        let id = record.spec.id.clone();
-        match self.jobs.get_mut(&id) {
-            // A job that is over here never opens again: the finish mark stands for ever.
-            Some(job) if job.over => {}
-            Some(job) => job.stamp = stamp,
-            None => {
-                let due = self.deadline_of(&record, submitted);
-                self.graph.add(&id, &record.after, due);
-                self.note_arrival(&record.spec, submitted);
-                self.note_size(&record.spec.class, record.spec.pieces);
-                let team = self.team_of(&record.spec);
-                let job = Job::new(record.spec, team, stamp, submitted);
-                self.jobs.insert(id.clone(), job);
-                self.index_job(&id);
-                self.dirty = true;
-            }
-        }
-    }
-
-    /// The deadline that labels go by: the job's own, or else the class's `finished` objective
-    /// (an exception of ours, see docs/DESIGN.md: most deployed jobs state no deadline).
-    fn deadline_of(&self, record: &OpenRecord, submitted: Millis) -> Option<Millis> {
-        let spec = &record.spec;
-        spec.due_s
-            .or_else(|| self.policy.finished_within(&spec.class))
-            .map(|s| submitted + Millis::from_secs(s))
-    }
-
-    pub(crate) fn job_closed(&mut self, now: Millis, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        if job.over {
-            return;
-        }
-        job.over = true;
-        job.pending.clear();
-        self.dirty = true;
-        if job.complete() {
-            self.graph.finished(id);
-        } else {
-            tracing::debug!(job = %id, "closed by its user");
-            self.graph.failed(id);
-        }
-        let hosts: BTreeSet<HostId> = job.places.values().flatten().cloned().collect();
-        for h in hosts {
-            self.drop_untouched(now, &h, id);
-            self.to_review.insert(h);
-        }
-        self.index_job(id);
-    }
-
     fn open_jobs(&mut self, now: Millis, jobs: Vec<(OpenRecord, Stamp, Millis)>) {
         let listed: BTreeSet<JobId> = jobs.iter().map(|(r, _, _)| r.spec.id.clone()).collect();
         let closed: Vec<JobId> = self
@@ -436,10 +399,10 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in closed {
-            self.job_closed(now, &id);
+            self.job_closed(now, &id, Closure::Unknown);
         }
         for (record, stamp, submitted) in jobs {
-            self.job_opened(record, stamp, submitted);
+            self.job_opened(now, record, stamp, submitted);
         }
     }
 
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -33,7 +33,7 @@
 const PLACED_BURST_S: f64 = 5.0;
 /// However small the quota, or if it is none: placement never stops.
 const LEAST_PLACED_S: f64 = 100.0;
-/// A job that was submitted longer ago than this takes any machine rather than one with its image.
+/// A job that has been ready for longer than this takes any machine rather than one with its image.
 const LONGEST_IMAGE_WAIT: Millis = Millis(30_000);
 /// A pass for fewer tasks than this is not worth the look at the whole queue.
 const LEAST_PLACED: usize = 20;
@@ -129,25 +129,43 @@
     /// too much to do, jobs already late would make every other late as well.
     fn aim_of(&self, id: &JobId, job: &Job, now: Millis) -> u8 {
         let class = &job.spec.class;
-        let after = |s: f64| job.submitted + Millis::from_secs(s);
+        let after = |s: f64| job.ready + Millis::from_secs(s);
         let run = Millis::from_secs(self.longest_of(job));
         let starts = self.policy.of_class("wait", class);
         let mut aims: Vec<Millis> = starts.filter_map(|o| o.within_s).map(after).collect();
         let finishes = self.policy.of_class("finished", class);
         aims.extend(finishes.filter_map(|o| o.within_s).map(|s| after(s) - run));
-        if let (Some(due), Some(_)) = (self.graph.pressing(id), job.spec.due_s) {
-            let allowed = (due - job.submitted).secs();
-            let times = self.policy.of_class("deadline", class);
-            let mut times: Vec<f64> = times.filter_map(|o| o.times).collect();
-            if times.is_empty() {
-                times.push(1.0);
-            }
-            aims.extend(times.into_iter().map(|t| after(allowed * t) - run));
+        let has_deadline = job.spec.due_s.is_some() || self.graph.has_consumers(id);
+        if let Some(due) = self.graph.due(id).filter(|_| has_deadline) {
+            aims.extend(self.deadline_aims(job, due).map(|t| t - run));
         }
         aims.sort();
         aims.iter().filter(|t| **t < now).count() as u8
     }
 
+    /// The deadline that a job has, of its own or for the jobs that need it, and the multiples of the
+    /// time that it allows itself which its class's objectives name.
+    fn deadline_aims(&self, job: &Job, due: Millis) -> impl Iterator<Item = Millis> {
+        let (submitted, class) = (job.submitted, &job.spec.class);
+        let mut times = Vec::new();
+        if job.spec.due_s.is_some() {
+            let named = self.policy.of_class("deadline", class);
+            times.extend(named.filter_map(|o| o.times));
+        }
+        if times.is_empty() {
+            times.push(1.0);
+        }
+        let allowed_s = (due - submitted).secs();
+        let aims = times.into_iter();
+        aims.map(move |t| submitted + Millis::from_secs(allowed_s * t))
+    }
+
+    /// The priority that a job is treated with: the highest of its own and of all that need it.
+    pub(crate) fn urgency_of(&self, id: &JobId, spec: &JobSpec) -> Urgency {
+        let derived = self.graph.urgency(id);
+        derived.map_or(spec.urgency, |u| u.max(spec.urgency))
+    }
+
     /// Whether a task takes most of a machine: large ones are placed first, small ones fill what is
     /// left.
     pub(crate) fn bulk(&self, spec: &JobSpec) -> bool {
@@ -164,21 +182,21 @@
             .waiting
             .iter()
             .filter_map(|id| Some((id, self.jobs.get(id)?)))
-            .filter(|(id, j)| j.not_before <= now && self.graph.released(id))
+            .filter(|(_, j)| j.not_before <= now)
             .map(|(id, j)| {
                 let aged = self.aged(j, now);
                 let class = (
                     // Guards against a job that never begins, whatever ranks it low: oldest first.
                     !aged,
-                    aged.then_some(j.submitted),
+                    aged.then_some(j.ready),
                     self.graph.depth(id),
                     !inside.contains(id),
-                    Reverse::<Urgency>(j.spec.urgency),
+                    Reverse::<Urgency>(self.urgency_of(id, &j.spec)),
                     self.graph.label(id),
                     self.aim_of(id, j, now),
                     !self.bulk(&j.spec),
                 );
-                let rank = (class, Millis::from_secs(self.work_of(j)), j.submitted);
+                let rank = (class, Millis::from_secs(self.work_of(j)), j.ready);
                 (rank, id)
             })
             .collect();
@@ -302,9 +320,10 @@
         }
     }
 
-    fn least_urgent(&self) -> Option<Urgency> {
-        let open = self.jobs.values().filter(|j| !j.over);
-        open.map(|j| j.spec.urgency).min()
+    /// The lowest priority among the jobs that may run.
+    pub(super) fn least_urgent(&self) -> Option<Urgency> {
+        let open = self.jobs.iter().filter(|(_, j)| !j.over && j.released);
+        open.map(|(id, j)| self.urgency_of(id, &j.spec)).min()
     }
 
     /// Whether a gang is more urgent than other work, may start as far as its team's limit goes, and is
@@ -315,9 +334,9 @@
         };
         let above_others = pass
             .least_urgent
-            .is_some_and(|least| least < job.spec.urgency);
+            .is_some_and(|least| least < self.urgency_of(id, &job.spec));
         // Guards against a job for which machine after machine is emptied in vain: it goes anywhere then.
-        let young = now - job.submitted < LONGEST_IMAGE_WAIT;
+        let young = now - job.ready < LONGEST_IMAGE_WAIT;
         let candidate =
             young && above_others && job.spec.shape == Shape::Gang && job.places.is_empty();
         let head = || self.headroom(&job.spec, job.team, &pass.used) as usize;
@@ -485,12 +504,7 @@
         }
         let mut fit: BTreeMap<Zone, u32> = BTreeMap::new();
         let need = Amount::of(spec);
-        for m in self
-            .indexes
-            .spacious
-            .iter()
-            .filter_map(|h| self.machines.get(h))
-        {
+        for m in self.with_room_for(spec) {
             if self.usable(m, now) && Self::allows(spec, m) && !pass.kept.contains(&m.id) {
                 let n = need.count_in(&m.free, spec.pieces);
                 *fit.entry(m.site.clone()).or_default() += n;
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -194,9 +194,8 @@
 
     /// Whether anything may be stopped for the job at all.
     fn may_preempt(&self, id: &JobId, inside: &BTreeSet<JobId>) -> bool {
-        let lowest = self.jobs.values().filter(|j| !j.over);
-        let lowest = lowest.map(|j| j.spec.urgency).min();
-        let above = self.jobs.get(id).map(|j| j.spec.urgency) > lowest;
+        let urgency = self.jobs.get(id).map(|j| self.urgency_of(id, &j.spec));
+        let above = urgency > self.least_urgent();
         above || inside.contains(id)
     }
 
@@ -210,7 +209,7 @@
         let Some(within) = by_class else {
             return !self.may_rent(now, spec);
         };
-        let waited = (now - job.submitted).secs();
+        let waited = (now - job.ready).secs();
         let need = Amount::of(spec);
         let rental = self
             .rigs
@@ -292,7 +291,9 @@
         other_id: &JobId,
         inside: &BTreeSet<JobId>,
     ) -> bool {
-        if other.spec.urgency < job.spec.urgency {
+        let urgency = self.urgency_of(id, &job.spec);
+        let other_urgency = self.urgency_of(other_id, &other.spec);
+        if other_urgency < urgency {
             return true;
         }
         let borrowed = || {
@@ -307,7 +308,7 @@
         // urgent gangs were stopped for single tasks, some gangs five times, while what ends by
         // itself every second had room for thousands.
         inside.contains(id)
-            && other.spec.urgency <= job.spec.urgency
+            && other_urgency <= urgency
             && other.spec.class != job.spec.class
             && other.team != job.team
             && !inside.contains(other_id)
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -3,6 +3,7 @@
 //! was never launched and may start at once.
 
 use super::ageing::Ageing;
+use super::chains::MarkReads;
 use super::fleet::Fleet;
 use super::graph::Graph;
 use super::leadership::Lead;
@@ -69,6 +70,7 @@
             rigs: BTreeMap::new(),
             jobs: BTreeMap::new(),
             graph: Graph::default(),
+            mark_reads: MarkReads::default(),
             machines: BTreeMap::new(),
             used: vec![Amount::default(); teams],
             indexes: Indexes {
@@ -102,7 +104,7 @@
             .map(|r| (r.name.clone(), r))
             .collect();
         for (record, stamp, submitted) in found.open {
-            core.job_opened(record, stamp, submitted);
+            core.job_opened(now, record, stamp, submitted);
         }
         if let Some(item) = found.hints {
             core.writer.hints = item.stamp;
@@ -113,9 +115,7 @@
         for item in found.progress {
             core.load_progress(item);
         }
-        for item in &found.hosts {
-            core.load_hosts(now, item)?;
-        }
+        core.load_host_pages(now, found.hosts)?;
         for item in &found.intents {
             core.load_intents(now, item)?;
         }
@@ -153,14 +153,43 @@
         Millis((time_of_day_s as i64).saturating_mul(1000)) - Millis(self.day_ms as i64)
     }
 
+    /// Small pages first: a machine that a former leader was moving from a page that had grown too large
+    /// is on both, and stays on the small one.
+    fn load_host_pages(&mut self, now: Millis, mut pages: Vec<Item>) -> Result<(), Unreadable> {
+        let listed = |page: &Item| {
+            page.data
+                .get("hosts")
+                .and_then(|h| h.as_object()?.len().into())
+        };
+        pages.sort_by_key(|page| listed(page).unwrap_or(0));
+        for page in &pages {
+            self.load_hosts(now, page)?;
+        }
+        for (host, page) in self.writer.hosts.split() {
+            if let Some(m) = self.machines.get_mut(&host) {
+                m.page = Some(page);
+            }
+        }
+        Ok(())
+    }
+
     fn load_hosts(&mut self, now: Millis, item: &Item) -> Result<(), Unreadable> {
         let Some(page) = parse_page(&item.key, HOSTS) else {
             return Ok(());
         };
         let record: HostsPage = read(item)?;
-        let hosts: BTreeSet<HostId> = record.hosts.keys().cloned().collect();
-        self.writer.hosts.found(page, item.stamp, hosts);
+        let all = record.hosts.len();
+        let new = |id: &&HostId| !self.machines.contains_key(*id);
+        let hosts: BTreeSet<HostId> = record.hosts.keys().filter(new).cloned().collect();
+        let twice = hosts.len() < all;
+        self.writer.hosts.found(page, item.stamp, hosts.clone());
+        if twice {
+            self.writer.hosts.changed(now, page);
+        }
         for (id, note) in record.hosts {
+            if !hosts.contains(&id) {
+                continue;
+            }
             let Some((rig, site, spot)) = record.kinds.get(note.0).cloned() else {
                 return Err(Unreadable {
                     key: item.key.clone(),
--- a/src/coordination/starts.rs
+++ b/src/coordination/starts.rs
@@ -12,9 +12,13 @@
 /// What is looked up again and again, kept in step with the ledgers.
 #[derive(Debug, Default, PartialEq)]
 pub struct Indexes {
-    /// Open jobs with tasks that are nowhere.
+    /// Released jobs with tasks that are nowhere.
     pub waiting: BTreeSet<JobId>,
-    /// Open jobs by team, in order of acceptance: for guarantees.
+    /// Open jobs that wait for others to be done.
+    pub unreleased: BTreeSet<JobId>,
+    /// Open jobs that are to be cancelled because a job that they need is.
+    pub ancestor_cancelled: BTreeSet<JobId>,
+    /// Released jobs by team, in the order in which they were ready: for guarantees.
     pub by_team: Vec<BTreeSet<(Millis, JobId)>>,
     /// Open jobs of which every task is done.
     pub complete: BTreeSet<JobId>,
@@ -24,6 +28,29 @@
     pub finished: BTreeSet<JobId>,
     /// Machines that report and are not full.
     pub spacious: BTreeSet<HostId>,
+    /// Machines that report and whose GPUs are all taken, but not their CPUs: room for tasks that need
+    /// no GPU.
+    pub cpus_left: BTreeSet<HostId>,
+}
+
+/// What kind of room a machine has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Room {
+    /// None, or it does not report.
+    None,
+    /// CPUs, but no GPUs though its type has some.
+    NoGpus,
+    /// Some of all that its type is rented for.
+    Some,
+}
+
+/// Puts an id into a set or takes it out.
+fn keep_member<T: Ord + Clone>(set: &mut BTreeSet<T>, id: &T, member: bool) {
+    if !member {
+        set.remove(id);
+    } else if !set.contains(id) {
+        set.insert(id.clone());
+    }
 }
 
 impl Core {
@@ -148,19 +175,12 @@
 
     /// Brings the indexes in step with a job.
     pub(crate) fn index_job(&mut self, id: &JobId) {
-        fn keep(set: &mut BTreeSet<JobId>, id: &JobId, member: bool) {
-            if member {
-                if !set.contains(id) {
-                    set.insert(id.clone());
-                }
-            } else {
-                set.remove(id);
-            }
-        }
         let x = &mut self.indexes;
         let Some(j) = self.jobs.get(id) else {
             for set in [
                 &mut x.waiting,
+                &mut x.unreleased,
+                &mut x.ancestor_cancelled,
                 &mut x.complete,
                 &mut x.unsaved,
                 &mut x.finished,
@@ -170,13 +190,17 @@
             return;
         };
         let open = !j.over;
-        keep(&mut x.waiting, id, open && !j.pending.is_empty());
-        keep(&mut x.complete, id, open && j.complete());
-        keep(&mut x.unsaved, id, open && !j.unsaved.is_empty());
-        keep(&mut x.finished, id, j.over && j.listed == 0);
+        let released = open && j.released;
+        keep_member(&mut x.waiting, id, released && !j.pending.is_empty());
+        keep_member(&mut x.unreleased, id, open && !j.released);
+        let cancelled = open && j.ancestor_cancelled;
+        keep_member(&mut x.ancestor_cancelled, id, cancelled);
+        keep_member(&mut x.complete, id, open && j.complete());
+        keep_member(&mut x.unsaved, id, open && !j.unsaved.is_empty());
+        keep_member(&mut x.finished, id, j.over && j.listed == 0);
         if let Some(set) = j.team.and_then(|t| x.by_team.get_mut(t.0)) {
-            let place = (j.submitted, id.clone());
-            if open {
+            let place = (j.ready, id.clone());
+            if released {
                 set.insert(place);
             } else {
                 set.remove(&place);
@@ -186,21 +210,32 @@
 
     /// Brings the indexes in step with a machine.
     pub(crate) fn index_machine(&mut self, host: &HostId) {
-        let spacious = self.machines.get(host).is_some_and(|m| self.has_room(m));
-        if !spacious {
-            self.indexes.spacious.remove(host);
-        } else if !self.indexes.spacious.contains(host) {
-            self.indexes.spacious.insert(host.clone());
-        }
+        let room = self.machines.get(host).map(|m| self.room_on(m));
+        let spacious = &mut self.indexes.spacious;
+        keep_member(spacious, host, room == Some(Room::Some));
+        let cpus_left = &mut self.indexes.cpus_left;
+        keep_member(cpus_left, host, room == Some(Room::NoGpus));
     }
 
-    /// Whether a machine that reports has anything free of what its type is rented for.
-    fn has_room(&self, m: &Machine) -> bool {
+    /// What kind of room a machine has.
+    fn room_on(&self, m: &Machine) -> Room {
         let whole = self.capacity(&m.rig);
         let some = |free: f64, whole: f64| whole <= 0.0 || free > 1e-6;
-        m.state == MachineState::Up
-            && some(m.free.gpus, whole.gpus)
-            && some(m.free.cpus, whole.cpus)
+        if m.state != MachineState::Up || !some(m.free.cpus, whole.cpus) {
+            Room::None
+        } else if some(m.free.gpus, whole.gpus) {
+            Room::Some
+        } else {
+            Room::NoGpus
+        }
+    }
+
+    /// Machines that report and have room of the kind that a job's tasks need.
+    pub(crate) fn with_room_for<'a>(&'a self, spec: &JobSpec) -> impl Iterator<Item = &'a Machine> {
+        let spacious = self.indexes.spacious.iter();
+        let cpus_left = (spec.gpus <= 0.0).then_some(&self.indexes.cpus_left);
+        let hosts = spacious.chain(cpus_left.into_iter().flatten());
+        hosts.filter_map(|h| self.machines.get(h))
     }
 
     /// The machine types have changed: what is free follows.
@@ -233,6 +268,7 @@
         };
         let mut used = vec![Amount::default(); self.used.len()];
         let mut spacious = BTreeSet::new();
+        let mut cpus_left = BTreeSet::new();
         for m in self.machines.values() {
             let free = Self::room_left(m, self.capacity(&m.rig));
             if !near(&free, &m.free) || m.live as usize != m.going().count() {
@@ -243,8 +279,10 @@
                     u.add(&s.need);
                 }
             }
-            if self.has_room(m) {
-                spacious.insert(m.id.clone());
+            match self.room_on(m) {
+                Room::Some => drop(spacious.insert(m.id.clone())),
+                Room::NoGpus => drop(cpus_left.insert(m.id.clone())),
+                Room::None => {}
             }
         }
         for (a, b) in used.iter().zip(&self.used) {
@@ -252,12 +290,13 @@
                 return Err(format!("teams use {:?}, counted {used:?}", self.used));
             }
         }
-        if spacious != self.indexes.spacious {
+        if spacious != self.indexes.spacious || cpus_left != self.indexes.cpus_left {
             return Err("machines with room are not those indexed".into());
         }
         let mut want = Indexes {
             by_team: vec![BTreeSet::new(); self.indexes.by_team.len()],
             spacious,
+            cpus_left,
             ..Indexes::default()
         };
         for (id, j) in &self.jobs {
@@ -275,8 +314,11 @@
                 return Err(format!("{id}: {} starts, {} run", j.listed, j.running));
             }
             let open = !j.over;
+            let released = open && j.released;
             for (set, member) in [
-                (&mut want.waiting, open && !j.pending.is_empty()),
+                (&mut want.waiting, released && !j.pending.is_empty()),
+                (&mut want.unreleased, open && !j.released),
+                (&mut want.ancestor_cancelled, open && j.ancestor_cancelled),
                 (&mut want.complete, open && j.complete()),
                 (&mut want.unsaved, open && !j.unsaved.is_empty()),
                 (&mut want.finished, !open && j.listed == 0),
@@ -287,10 +329,10 @@
             }
             if let Some(set) = j
                 .team
-                .filter(|_| open)
+                .filter(|_| released)
                 .and_then(|t| want.by_team.get_mut(t.0))
             {
-                set.insert((j.submitted, id.clone()));
+                set.insert((j.ready, id.clone()));
             }
         }
         if want != self.indexes {
--- a/src/coordination/waiting.rs
+++ b/src/coordination/waiting.rs
@@ -37,8 +37,9 @@
     pub fn waiting_jobs(&self, now: Millis) -> BTreeMap<WaitReason, WaitingJobs> {
         let mut by_reason: BTreeMap<WaitReason, WaitingJobs> = BTreeMap::new();
         let waiting = self.indexes.waiting.iter();
+        let waiting = waiting.chain(&self.indexes.unreleased);
         for (id, job) in waiting.filter_map(|id| Some((id, self.jobs.get(id)?))) {
-            let reason = self.wait_reason(now, id, job);
+            let reason = self.wait_reason(now, job);
             let entry = by_reason.entry(reason).or_insert_with(|| WaitingJobs {
                 jobs: 0,
                 tasks: 0,
@@ -55,8 +56,8 @@
         by_reason
     }
 
-    fn wait_reason(&self, now: Millis, id: &JobId, job: &Job) -> WaitReason {
-        if !self.graph.released(id) {
+    fn wait_reason(&self, now: Millis, job: &Job) -> WaitReason {
+        if !job.released {
             return WaitReason::Producers;
         }
         if now < job.not_before || job.mistaken() {
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -41,6 +41,8 @@
     },
     /// A job is done.
     Finish { job: JobId },
+    /// A job is cancelled because a job that it needs is.
+    Cancel { job: JobId },
     /// A progress record left by a job that is over.
     DropProgress { key: String },
     /// What was seen of classes.
@@ -110,6 +112,9 @@
 const LOST: Millis = Millis(8_000);
 /// Bytes that a machine takes on its page, beyond its name, with some images named.
 const HOST_BYTES: usize = 60;
+/// Bytes of a machine's name on its page, and of the kinds and images that a page names, at most.
+const HOST_NAME_BYTES: usize = 16;
+const HOST_PAGE_NAMES: usize = 1000;
 /// Images named for each machine: the most that fits.
 const HOST_IMAGES: [usize; 4] = [16, 10, 6, 3];
 
@@ -118,7 +123,8 @@
     pub fn new(state: &StateLimits, now: Millis) -> Writer {
         // The rest is left to submissions, cancellations and the lease.
         let mine = state.write_rps * 0.7;
-        let most = (value_bytes(state).saturating_sub(1000)) / (HOST_BYTES + 16);
+        let bytes = value_bytes(state);
+        let most = (bytes - (bytes / 4).min(HOST_PAGE_NAMES)) / (HOST_BYTES + HOST_NAME_BYTES);
         Writer {
             flight: Flight::None,
             budget: Budget::new(mine, mine),
@@ -140,7 +146,9 @@
     pub(crate) fn mentions(&self, id: &JobId) -> bool {
         match &self.flight {
             Flight::Writing { works, .. } => works.iter().any(|w| match w {
-                Work::Progress { job, .. } | Work::Finish { job } => job == id,
+                Work::Progress { job, .. } | Work::Finish { job } | Work::Cancel { job } => {
+                    job == id
+                }
                 _ => false,
             }),
             _ => false,
@@ -205,8 +213,25 @@
         self.works.push(work);
         true
     }
+
+    /// Adds the end of an open job, whose record then gives way to the mark; false if it doesn't fit.
+    fn close(&mut self, id: &JobId, stamp: Stamp, mark: &FinalRecord, work: Work) -> bool {
+        let Ok(data) = serde_json::to_value(mark) else {
+            return true;
+        };
+        let guards = vec![(open_key(id), stamp), (final_key(id), Stamp(0))];
+        let apply = vec![
+            Change::Delete {
+                delete: open_key(id),
+            },
+            Change::put(final_key(id), data),
+        ];
+        self.add(guards, apply, work)
+    }
 }
 
+/// Operations that finish or cancel one job.
+const FINISH_OPS: usize = 2;
 /// The service takes 64 KiB in one transaction.
 const MAX_TXN_BYTES: usize = 56 * 1024;
 
@@ -239,9 +264,12 @@
         };
         self.draft_raise(now, &mut draft);
         self.draft_hosts(now, false, &mut draft);
+        // Every step of a chain waits for a finish mark: those go first.
+        self.draft_finishes_of_producers(now, &mut draft);
         // Launches leave room for finishes: neither starves the other.
-        self.draft_launches(&mut draft, 2);
-        self.draft_finishes(&mut draft);
+        self.draft_launches(&mut draft, FINISH_OPS);
+        self.draft_finishes(now, &mut draft);
+        self.draft_cancellations(&mut draft);
         self.draft_launches(&mut draft, 0);
         // What may wait takes only what is left of the rate.
         if self.writer.budget.left(now) > 0.4 {
@@ -366,23 +394,45 @@
         serde_json::to_value(&page).unwrap_or_default()
     }
 
-    fn draft_finishes(&self, draft: &mut Draft) {
+    fn draft_finishes(&self, now: Millis, draft: &mut Draft) {
         for (id, job) in self.jobs_in(&self.indexes.complete) {
-            let mark = FinalRecord {
-                phase: JobPhase::Done,
-                pieces: job.spec.pieces,
-            };
-            let Ok(data) = serde_json::to_value(&mark) else {
-                continue;
-            };
-            let guards = vec![(open_key(id), job.stamp), (final_key(id), Stamp(0))];
-            let apply = vec![
-                Change::Delete {
-                    delete: open_key(id),
-                },
-                Change::put(final_key(id), data),
-            ];
-            if !draft.add(guards, apply, Work::Finish { job: id.clone() }) {
+            if !self.graph.has_consumers(id) && !self.draft_finish(now, id, job, draft) {
+                return;
+            }
+        }
+    }
+
+    /// Finishes of jobs that others wait for, in at most half of a transaction: a burst of them must not
+    /// hold up launches.
+    fn draft_finishes_of_producers(&self, now: Millis, draft: &mut Draft) {
+        let most = (draft.most_ops / 2).max(FINISH_OPS);
+        for (id, job) in self.jobs_in(&self.indexes.complete) {
+            if draft.apply.len() + FINISH_OPS > most {
+                return;
+            }
+            if self.graph.has_consumers(id) && !self.draft_finish(now, id, job, draft) {
+                return;
+            }
+        }
+    }
+
+    fn draft_finish(&self, now: Millis, id: &JobId, job: &Job, draft: &mut Draft) -> bool {
+        let mark = FinalRecord {
+            phase: JobPhase::Done,
+            pieces: job.spec.pieces,
+            at_ms: self
+                .graph
+                .has_consumers(id)
+                .then(|| self.day_ms.saturating_add_signed(now.0)),
+        };
+        draft.close(id, job.stamp, &mark, Work::Finish { job: id.clone() })
+    }
+
+    /// Jobs that need a cancelled one, directly or through others.
+    fn draft_cancellations(&self, draft: &mut Draft) {
+        for (id, job) in self.jobs_in(&self.indexes.ancestor_cancelled) {
+            let mark = FinalRecord::cancelled(job.spec.pieces);
+            if !draft.close(id, job.stamp, &mark, Work::Cancel { job: id.clone() }) {
                 return;
             }
         }
--- a/src/coordination/writer/outcomes.rs
+++ b/src/coordination/writer/outcomes.rs
@@ -1,5 +1,6 @@
 //! What became of the writer's transactions: done, refused, or unclear and to be read again.
 
+use super::super::chains::Closure;
 use super::super::{Core, Effect};
 use super::{Flight, Work, REFUSED};
 use crate::ids::{Epoch, JobId, Millis, PageNo, Stamp};
@@ -54,9 +55,13 @@
                 }
                 Work::Finish { job } => {
                     tracing::debug!(job = %job, "done");
-                    self.job_closed(now, &job);
+                    self.job_closed(now, &job, Closure::Finished);
                     self.collect_orphaned_progress(&job);
                 }
+                Work::Cancel { job } => {
+                    tracing::debug!(job = %job, "cancelled with a job that it needs");
+                    self.job_closed(now, &job, Closure::Cancelled);
+                }
                 Work::DropProgress { key } => {
                     self.writer.orphaned_progress.remove(&key);
                 }
@@ -191,7 +196,7 @@
     pub(super) fn open_reread(&mut self, now: Millis, id: &str, stamp: Stamp) {
         let id = JobId::from(id);
         if stamp == Stamp(0) {
-            self.job_closed(now, &id);
+            self.job_closed(now, &id, Closure::Unknown);
             self.collect_orphaned_progress(&id);
         } else if let Some(job) = self.jobs.get_mut(&id) {
             job.stamp = stamp;
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -3,6 +3,7 @@
 use crate::ids::{Image, JobId, MachineType, Zone};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::collections::BTreeSet;
 
 /// What kind of job it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,6 +66,17 @@
     pub due_s: Option<f64>,
 }
 
+/// A job as it is submitted.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Submission {
+    pub spec: JobSpec,
+    /// Jobs that have to be done before any task of this one starts, each once.
+    pub waits_on: Vec<JobId>,
+}
+
+/// The field of a submission that names the jobs it waits for.
+pub const WAITS_ON: &str = "waitsOn";
+
 /// A submission that can't be taken as it stands.
 #[derive(Debug)]
 pub struct Malformed {
@@ -78,7 +90,7 @@
 pub const MAX_PIECES: u32 = 100_000;
 
 /// Reads a submission, saying what is wrong with a bad one.
-pub fn parse_submission(body: &[u8]) -> Result<JobSpec, Malformed> {
+pub fn parse_submission(body: &[u8]) -> Result<Submission, Malformed> {
     let value: Value = serde_json::from_slice(body).map_err(|e| Malformed {
         id: None,
         reason: format!("not JSON: {e}"),
@@ -94,6 +106,8 @@
     if !value.is_object() {
         return Err(fail("not an object".into()));
     }
+    let waits_on = parse_waits_on(value.get(WAITS_ON))
+        .ok_or_else(|| fail(format!("{WAITS_ON}: not an array of job ids")))?;
     let spec: JobSpec = serde_json::from_value(value).map_err(|e| fail(e.to_string()))?;
     if id.is_none() {
         return Err(fail("ref: not a job id".into()));
@@ -115,7 +129,18 @@
             return Err(fail(format!("{name}: must be a finite number, 0 or more")));
         }
     }
-    Ok(spec)
+    Ok(Submission { spec, waits_on })
+}
+
+/// The jobs named; None if it is no list of job ids. Repeats count once.
+fn parse_waits_on(list: Option<&Value>) -> Option<Vec<JobId>> {
+    let list = match list {
+        None | Some(Value::Null) => return Some(Vec::new()),
+        Some(list) => list.as_array()?,
+    };
+    let ids = list.iter().map(|id| id.as_str().and_then(JobId::parse));
+    let distinct: BTreeSet<JobId> = ids.collect::<Option<_>>()?;
+    Some(distinct.into_iter().collect())
 }
 
 /// What a user is told of a job.
--- a/src/runtime/copy.rs
+++ b/src/runtime/copy.rs
@@ -9,19 +9,31 @@
 use crate::ids::{Epoch, JobId, Stamp};
 use crate::storage::records::{OpenRecord, OPEN};
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 
 /// An open job, as far as users' questions need it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenNote {
     pub stamp: Stamp,
     pub pieces: u32,
+    /// The jobs that it needs.
+    pub after: Vec<JobId>,
 }
 
-type Answer = Result<Option<OpenNote>, StateError>;
+/// An open job, and how the jobs stand that it needs directly or through others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenJob {
+    pub stamp: Stamp,
+    pub pieces: u32,
+    /// Ancestors that are no longer open: the finish marks of these say whether the job is cancelled
+    /// with them.
+    pub closed_ancestors: Vec<JobId>,
+}
+
+type Answer = Result<Option<OpenJob>, StateError>;
 
 /// The copy, and the questions that wait.
 #[derive(Default)]
@@ -61,7 +73,7 @@
         // The read is sent after these questions came: that is what makes it good for them.
         let outcome = copy.update(&node).await;
         for (id, answer) in questions {
-            let said = outcome.map(|()| copy.open.get(&id).copied());
+            let said = outcome.map(|()| copy.open_job(&id));
             let _ = answer.send(said);
         }
         tokio::select! {
@@ -78,13 +90,24 @@
     epoch: Option<Epoch>,
 }
 
-/// The number of tasks, also of a record that can't be read otherwise: the job is open all the same.
-pub fn pieces_of(data: &Value) -> u32 {
-    match serde_json::from_value::<OpenRecord>(data.clone()) {
-        Ok(r) => r.spec.pieces,
-        Err(_) => {
-            let n = data.pointer("/spec/pieces").and_then(Value::as_u64);
-            n.and_then(|n| u32::try_from(n).ok()).unwrap_or(1)
+impl OpenNote {
+    /// What matters of an open record, also of one that can't be read otherwise: the job is open all the
+    /// same.
+    pub fn read(stamp: Stamp, data: &Value) -> OpenNote {
+        match serde_json::from_value::<OpenRecord>(data.clone()) {
+            Ok(record) => OpenNote {
+                stamp,
+                pieces: record.spec.pieces,
+                after: record.after,
+            },
+            Err(_) => {
+                let n = data.pointer("/spec/pieces").and_then(Value::as_u64);
+                OpenNote {
+                    stamp,
+                    pieces: n.and_then(|n| u32::try_from(n).ok()).unwrap_or(1),
+                    after: Vec::new(),
+                }
+            }
         }
     }
 }
@@ -123,9 +146,30 @@
 
     fn put(&mut self, key: &str, data: &Value, stamp: Stamp) {
         if let Some(id) = key.strip_prefix(OPEN) {
-            let pieces = pieces_of(data);
             self.open
-                .insert(JobId::from(id), OpenNote { stamp, pieces });
+                .insert(JobId::from(id), OpenNote::read(stamp, data));
+        }
+    }
+
+    /// The job with what closed ancestors it has. Each is looked at once, however many ways lead there.
+    fn open_job(&self, id: &JobId) -> Option<OpenJob> {
+        let note = self.open.get(id)?;
+        let mut seen: BTreeSet<&JobId> = BTreeSet::new();
+        let mut todo: Vec<&JobId> = note.after.iter().collect();
+        let mut closed_ancestors = Vec::new();
+        while let Some(ancestor) = todo.pop() {
+            if !seen.insert(ancestor) {
+                continue;
+            }
+            match self.open.get(ancestor) {
+                Some(open) => todo.extend(&open.after),
+                None => closed_ancestors.push(ancestor.clone()),
+            }
         }
+        Some(OpenJob {
+            stamp: note.stamp,
+            pieces: note.pieces,
+            closed_ancestors,
+        })
     }
 }
--- a/src/runtime/effects.rs
+++ b/src/runtime/effects.rs
@@ -9,11 +9,15 @@
 use crate::protocol::cloud::{RentRequest, ReturnRequest};
 use crate::protocol::state::Item;
 use crate::protocol::workers::{Commands, Report};
+use crate::storage::records::final_key;
 use crate::transport::client::NoAnswer;
 use hyper::Method;
 use rand::Rng;
 use std::time::Duration;
 
+/// Between reads of finish marks: a takeover with many chains must not use up the service's rate.
+const BETWEEN_MARKS: Duration = Duration::from_millis(15);
+
 pub(super) async fn carry_out(node: &Node, authority: &Authority, effect: Effect) -> Option<Event> {
     match effect {
         Effect::Write { seq, txn } => Some(match node.state.txn(&txn).await {
@@ -32,6 +36,15 @@
             }
             Some(Event::Reread { seq, items })
         }
+        Effect::ReadMarks { ids } => {
+            let mut marks = Vec::new();
+            for id in ids {
+                let item = read_surely(node, authority, &final_key(&id)).await?;
+                marks.push((id, item.and_then(|i| serde_json::from_value(i.data).ok())));
+                tokio::time::sleep(BETWEEN_MARKS).await;
+            }
+            Some(Event::MarksRead { marks })
+        }
         Effect::Direct {
             host,
             endpoint,
--- a/src/runtime/http_api.rs
+++ b/src/runtime/http_api.rs
@@ -174,9 +174,12 @@
     body: &[u8],
     passed_on: bool,
 ) -> Reply {
-    let Some(rest) = path.strip_prefix("/submissions") else {
+    let Some(mut rest) = path.strip_prefix("/submissions") else {
         return Reply::error(404, "no such path");
     };
+    if passed_on && rest == FORWARDED_CHAIN {
+        rest = "";
+    }
     let time = if method == "GET" {
         users::POLL
     } else {
@@ -220,6 +223,10 @@
     through_sibling(node, method, path, body, time).await
 }
 
+/// Added to the path of a forwarded submission that names producers. Guards against a sibling of the
+/// version before chains, which would accept the job without its edges: to that one it is no path.
+const FORWARDED_CHAIN: &str = "/chain/new";
+
 /// A request that we can't serve because the state service refuses us goes through a sibling that it
 /// serves; if we know of none, the user is told at once.
 async fn through_sibling(
@@ -229,16 +236,19 @@
     body: &[u8],
     time: Duration,
 ) -> Reply {
+    let chain = path == "/submissions" && users::names_producers(body);
+    let suffix = if chain { FORWARDED_CHAIN } else { "" };
     let request = PeerRequest::Forward {
         method: method.into(),
-        path: path.into(),
+        path: format!("{path}{suffix}"),
         body: body.to_vec(),
     };
     let served = node.siblings_heard();
     for (n, _) in served.into_iter().filter(|(_, ok)| *ok).take(2) {
         let answer = node.siblings[n].ask(&request, time / 2).await;
         if let Some(PeerReply::Answer { status, body }) = answer {
-            if status != 503 {
+            let unknown_path = chain && status == 404;
+            if status != 503 && !unknown_path {
                 return Reply { status, body };
             }
         }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -8,6 +8,7 @@
 pub mod http_api;
 pub mod leader;
 pub mod peers;
+mod producers;
 pub mod state_client;
 pub mod users;
 
--- a/src/runtime/users.rs
+++ b/src/runtime/users.rs
@@ -2,15 +2,16 @@
 //! What is answered is read from there, never from a memory that may be out of date; only final
 //! states, which can't change, are kept.
 
-use super::copy::OpenNote;
+use super::copy::OpenJob;
 use super::http_api::Reply;
+use super::producers::{self, Producers};
 use super::state_client::{StateError, TxnOutcome};
 use super::{lock, time_of_day_ms, Node};
 use crate::ids::{JobId, Stamp};
 use crate::protocol::cloud::MachineTypeInfo;
 use crate::protocol::state::{Change, Guard, Txn};
 use crate::protocol::users::{
-    parse_submission, Accepted, JobPhase, JobSpec, Malformed, Shape, Status,
+    parse_submission, Accepted, JobPhase, JobSpec, Malformed, Shape, Status, Submission,
 };
 use crate::settings::Team;
 use crate::storage::ledger::{within, Amount};
@@ -32,8 +33,12 @@
 const MOST_FINALS: usize = 20_000;
 
 impl FinalCache {
-    fn get(&self, id: &JobId) -> Option<(JobPhase, u32)> {
-        self.known.get(id).copied()
+    fn get(&self, id: &JobId) -> Option<Final> {
+        let known = self.known.get(id);
+        known.map(|(phase, pieces)| Final {
+            phase: *phase,
+            pieces: *pieces,
+        })
     }
     pub fn put(&mut self, id: &JobId, phase: JobPhase, pieces: u32) {
         if self.known.insert(id.clone(), (phase, pieces)).is_none() {
@@ -48,35 +53,64 @@
 }
 
 /// What the state service says of a job.
-enum Found {
-    Open(OpenNote),
-    Final { phase: JobPhase, pieces: u32 },
+pub(super) enum Found {
+    Open(OpenJob),
+    Final(Final),
     Never,
 }
 
+/// A final state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Final {
+    pub phase: JobPhase,
+    pub pieces: u32,
+}
+
 /// Reads a job: first whether it is open, then its finish mark. Accepting writes the open record,
 /// ending moves it to the mark in one transaction, so a job that was ever accepted is found.
-async fn find(node: &Node, id: &JobId) -> Result<Found, StateError> {
-    if let Some((phase, pieces)) = lock(&node.finals).get(id) {
-        return Ok(Found::Final { phase, pieces });
-    }
-    if let Some(note) = node.copy.ask(id).await? {
-        return Ok(Found::Open(note));
+///
+/// A job that needs a cancelled one is cancelled, from the moment at which that one's mark was written
+/// and whether or not its own is: no task of it can have started, for a job starts only when all that it
+/// needs are done, and a mark never changes.
+pub(super) async fn find(node: &Node, id: &JobId) -> Result<Found, StateError> {
+    if let Some(known) = lock(&node.finals).get(id) {
+        return Ok(Found::Final(known));
     }
-    match node.state.get(&final_key(id)).await? {
-        None => Ok(Found::Never),
-        Some(item) => {
-            let mark: FinalRecord = serde_json::from_value(item.data).map_err(|e| {
-                tracing::error!(job = %id, error = %e, "a finish mark can't be read");
-                StateError::Refused
-            })?;
-            lock(&node.finals).put(id, mark.phase, mark.pieces);
-            Ok(Found::Final {
-                phase: mark.phase,
-                pieces: mark.pieces,
-            })
+    let Some(job) = node.copy.ask(id).await? else {
+        let mark = find_final(node, id).await?;
+        return Ok(mark.map_or(Found::Never, Found::Final));
+    };
+    for ancestor in &job.closed_ancestors {
+        let mark = find_final(node, ancestor).await?;
+        if mark.is_some_and(|m| m.phase == JobPhase::Cancelled) {
+            let cancelled = Final {
+                phase: JobPhase::Cancelled,
+                pieces: job.pieces,
+            };
+            lock(&node.finals).put(id, cancelled.phase, cancelled.pieces);
+            return Ok(Found::Final(cancelled));
         }
     }
+    Ok(Found::Open(job))
+}
+
+/// The finish mark of a job that is not open; None if it was never accepted.
+pub(super) async fn find_final(node: &Node, id: &JobId) -> Result<Option<Final>, StateError> {
+    if let Some(known) = lock(&node.finals).get(id) {
+        return Ok(Some(known));
+    }
+    let Some(item) = node.state.get(&final_key(id)).await? else {
+        return Ok(None);
+    };
+    let mark: FinalRecord = serde_json::from_value(item.data).map_err(|e| {
+        tracing::error!(job = %id, error = %e, "a finish mark can't be read");
+        StateError::Refused
+    })?;
+    lock(&node.finals).put(id, mark.phase, mark.pieces);
+    Ok(Some(Final {
+        phase: mark.phase,
+        pieces: mark.pieces,
+    }))
 }
 
 /// Whether the final state of the job of that name has been read or told here.
@@ -107,7 +141,7 @@
     let Some(id) = id else { return otherwise };
     match find(node, id).await {
         Ok(Found::Open(_)) => accepted(200, id, open_status(node, id).0),
-        Ok(Found::Final { phase, .. }) => accepted(200, id, phase),
+        Ok(Found::Final(Final { phase, .. })) => accepted(200, id, phase),
         Ok(Found::Never) => otherwise,
         Err(_) => Reply::busy("the state service can't be reached"),
     }
@@ -143,9 +177,14 @@
     None
 }
 
+/// Whether a submission names jobs that it waits for.
+pub fn names_producers(body: &[u8]) -> bool {
+    parse_submission(body).is_ok_and(|s| !s.waits_on.is_empty())
+}
+
 /// `POST /submissions`.
 pub async fn submit(node: &Node, body: &[u8]) -> Reply {
-    let spec = match parse_submission(body) {
+    let Submission { spec, waits_on } = match parse_submission(body) {
         Ok(s) => s,
         Err(Malformed { id, reason }) => {
             return if_known(node, id.as_ref(), Reply::error(400, &reason)).await;
@@ -160,36 +199,88 @@
     if let Some(reason) = never_runs(&spec, &rigs, &node.policy.facts.teams) {
         return if_known(node, Some(&id), Reply::error(422, &reason)).await;
     }
-    let (class, team) = (spec.class.clone(), spec.team.clone());
+    if waits_on.contains(&id) {
+        let itself = Reply::error(422, "waits for itself");
+        return if_known(node, Some(&id), itself).await;
+    }
+    match producers::look_up(node, waits_on).await {
+        Ok(Producers::Unfinished(after)) => open_job(node, spec, after).await,
+        Ok(Producers::Cancelled) => accept_cancelled(node, &spec).await,
+        Ok(Producers::NeverAccepted(unknown)) => {
+            let reason = format!("waits for {unknown}, which was never accepted");
+            if_known(node, Some(&id), Reply::error(422, &reason)).await
+        }
+        Err(_) => {
+            let unknown = Reply::busy("the jobs that it waits for can't be looked up now");
+            if_known(node, Some(&id), unknown).await
+        }
+    }
+}
+
+/// Accepts a job that waits for these.
+async fn open_job(node: &Node, spec: JobSpec, after: Vec<JobId>) -> Reply {
+    let id = spec.id.clone();
+    let (class, team, producers) = (spec.class.clone(), spec.team.clone(), after.len());
     let record = OpenRecord {
         spec,
         at_ms: time_of_day_ms(),
-        after: Vec::new(),
+        after,
     };
     let Ok(data) = serde_json::to_value(&record) else {
         return Reply::error(400, "can't be stored");
     };
     if data.to_string().len() as f64 > node.policy.facts.state.value_kb * 1024.0 * 0.9 {
-        return Reply::error(400, "too long a description");
+        return if_known(node, Some(&id), Reply::error(400, "too long a description")).await;
     }
-    let absent = |key| Guard {
-        key,
-        stamp: Stamp(0),
-    };
-    let txn = Txn {
-        guards: vec![absent(open_key(&id)), absent(final_key(&id))],
-        apply: vec![Change::put(open_key(&id), data)],
-    };
-    match node.state.txn(&txn).await {
+    match node
+        .state
+        .txn(&first_record(&id, open_key(&id), data))
+        .await
+    {
         Ok(TxnOutcome::Applied(epoch)) => {
             node.leader.nudge();
-            tracing::debug!(job = %id, epoch = %epoch, class, team, "accepted");
+            tracing::debug!(job = %id, epoch = %epoch, class, team, producers, "accepted");
             accepted(201, &id, JobPhase::Queued)
         }
-        // Known already, or an unclear outcome: settled by reading before anything is answered.
-        Ok(TxnOutcome::Conflict(_)) | Err(StateError::Unclear) => {
+        failed => settle(node, &id, failed).await,
+    }
+}
+
+/// Accepts a job that needs a cancelled one: it is cancelled from the start.
+async fn accept_cancelled(node: &Node, spec: &JobSpec) -> Reply {
+    let id = &spec.id;
+    let Ok(data) = serde_json::to_value(FinalRecord::cancelled(spec.pieces)) else {
+        return Reply::error(400, "can't be stored");
+    };
+    match node.state.txn(&first_record(id, final_key(id), data)).await {
+        Ok(TxnOutcome::Applied(_)) => {
+            tracing::debug!(job = %id, "accepted and cancelled with a job that it needs");
+            lock(&node.finals).put(id, JobPhase::Cancelled, spec.pieces);
+            accepted(201, id, JobPhase::Cancelled)
+        }
+        failed => settle(node, id, failed).await,
+    }
+}
+
+/// The transaction that makes a job known, if it isn't.
+fn first_record(id: &JobId, key: String, data: serde_json::Value) -> Txn {
+    let absent = |key| Guard {
+        key,
+        stamp: Stamp(0),
+    };
+    Txn {
+        guards: vec![absent(open_key(id)), absent(final_key(id))],
+        apply: vec![Change::put(key, data)],
+    }
+}
+
+/// The answer to a submission whose transaction was not applied, as far as is known. Known already, or an
+/// unclear outcome: settled by reading before anything is answered.
+async fn settle(node: &Node, id: &JobId, outcome: Result<TxnOutcome, StateError>) -> Reply {
+    match outcome {
+        Ok(_) | Err(StateError::Unclear) => {
             let unsettled = Reply::busy("the outcome is not known yet");
-            if_known(node, Some(&id), unsettled).await
+            if_known(node, Some(id), unsettled).await
         }
         Err(_) => Reply::busy("the state service can't be reached"),
     }
@@ -214,7 +305,7 @@
                 },
             )
         }
-        Ok(Ok(Found::Final { phase, pieces })) => {
+        Ok(Ok(Found::Final(Final { phase, pieces }))) => {
             let done = if phase == JobPhase::Done { pieces } else { 0 };
             Reply::json(
                 200,
@@ -240,9 +331,9 @@
     let began = Instant::now();
     let mut unclear = false;
     while began.elapsed() < SUBMIT / 2 {
-        let OpenNote { stamp, pieces } = match find(node, &id).await {
-            Ok(Found::Open(note)) => note,
-            Ok(Found::Final { phase, pieces }) => {
+        let OpenJob { stamp, pieces, .. } = match find(node, &id).await {
+            Ok(Found::Open(job)) => job,
+            Ok(Found::Final(Final { phase, pieces })) => {
                 // Perhaps a transaction of ours that got no answer: nobody has been told yet.
                 if unclear && phase == JobPhase::Cancelled {
                     node.cancelled(&id, pieces);
@@ -252,10 +343,7 @@
             Ok(Found::Never) => return Reply::error(404, "no such job"),
             Err(_) => break,
         };
-        let mark = FinalRecord {
-            phase: JobPhase::Cancelled,
-            pieces,
-        };
+        let mark = FinalRecord::cancelled(pieces);
         let Ok(data) = serde_json::to_value(&mark) else {
             break;
         };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -111,6 +111,38 @@
     pub write_rps: f64,
     pub value_kb: f64,
     pub txn_ops: usize,
+    /// What it will allow from some moment on, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Limits that the state service will have; those that are absent stay as they are.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+pub struct NextStateLimits {
+    #[serde(default)]
+    pub rps: Option<f64>,
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
+}
+
+impl StateLimits {
+    /// The limits to keep to: the lower ones of those in force and those to come, since nobody says when
+    /// they change and what is refused for its size would be refused for ever.
+    pub fn lowest(&self) -> StateLimits {
+        let next = self.next.unwrap_or_default();
+        let lower = |now: f64, next: Option<f64>| next.map_or(now, |n| n.min(now));
+        StateLimits {
+            rps: lower(self.rps, next.rps),
+            write_rps: lower(self.write_rps, next.write_rps),
+            value_kb: lower(self.value_kb, next.value_kb),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
+            next: self.next,
+        }
+    }
 }
 
 /// What the cloud allows.
@@ -230,11 +262,12 @@
 /// Reads and checks both files.
 pub fn load(platform: &Path, operator: Option<&Path>) -> Result<Settings, SettingsError> {
     let text = read(platform)?;
-    let parsed: Platform = toml::from_str(&text).map_err(|e| SettingsError::Form {
+    let mut parsed: Platform = toml::from_str(&text).map_err(|e| SettingsError::Form {
         file: platform.into(),
         why: e.to_string().trim().to_string(),
     })?;
     check_platform(platform, &parsed)?;
+    parsed.facts.state = parsed.facts.state.lowest();
     let own = match operator {
         None => Operator::default(),
         Some(file) => {
@@ -333,12 +366,30 @@
     ] {
         positive(file, name, v)?;
     }
-    if f.state.txn_ops < 3 {
-        return Err(bad(
-            file,
-            "facts.state.txn_ops",
-            "at least 3 are needed, to finish a job in one transaction",
-        ));
+    check_txn_ops(file, "facts.state.txn_ops", f.state.txn_ops)?;
+    check_next_limits(file, &f.state.next.unwrap_or_default())
+}
+
+fn check_txn_ops(file: &Path, field: &str, ops: usize) -> Result<(), SettingsError> {
+    if ops < 3 {
+        let why = "at least 3 are needed, to finish a job in one transaction";
+        return Err(bad(file, field, why));
+    }
+    Ok(())
+}
+
+fn check_next_limits(file: &Path, next: &NextStateLimits) -> Result<(), SettingsError> {
+    for (name, limit) in [
+        ("facts.state.next.rps", next.rps),
+        ("facts.state.next.write_rps", next.write_rps),
+        ("facts.state.next.value_kb", next.value_kb),
+    ] {
+        if let Some(limit) = limit {
+            positive(file, name, limit)?;
+        }
+    }
+    if let Some(ops) = next.txn_ops {
+        check_txn_ops(file, "facts.state.next.txn_ops", ops)?;
     }
     Ok(())
 }
--- a/src/storage/ledger.rs
+++ b/src/storage/ledger.rs
@@ -84,8 +84,15 @@
     pub team: Option<TeamNo>,
     /// Version of the open record: the guard of every write on the job's behalf.
     pub stamp: Stamp,
-    /// When it was accepted, on our steady clock.
+    /// When it was accepted, on our steady clock: deadlines count from here.
     pub submitted: Millis,
+    /// Whether all jobs that it needs are done. Until then it counts for nothing but its deadline.
+    pub released: bool,
+    /// When it could first have run: when it was accepted, or the last job that it needs was done. All
+    /// times but its deadline count from here.
+    pub ready: Millis,
+    /// A job that it needs, directly or through others, is cancelled: it is to be cancelled too.
+    pub ancestor_cancelled: bool,
     /// Cancelled or finished: nothing may start, what runs is stopped.
     pub over: bool,
     /// Done tasks, and those whose being done isn't durable yet.
@@ -124,6 +131,9 @@
             team,
             stamp,
             submitted,
+            released: false,
+            ready: submitted,
+            ancestor_cancelled: false,
             over: false,
             done: DoneSet::new(n),
             unsaved: BTreeSet::new(),
--- a/src/storage/pages.rs
+++ b/src/storage/pages.rs
@@ -197,6 +197,9 @@
     }
 }
 
+/// A page out of date since then is written as soon as there is time.
+const LONG_AGO: Millis = Millis(i64::MIN / 4);
+
 /// One page of machines.
 #[derive(Debug, Default)]
 struct HostsState {
@@ -206,6 +209,9 @@
     urgent: bool,
     /// Since when it has been out of date.
     stale_since: Option<Millis>,
+    /// Machines that it lists as stored, and that are to be listed on other pages. It isn't written before
+    /// they are: no machine is ever on no page.
+    moving: BTreeSet<HostId>,
 }
 
 /// The pages of machines.
@@ -237,26 +243,62 @@
     /// Finds a page for a new machine.
     pub fn enter(&mut self, host: &HostId) -> PageNo {
         let most = self.most;
-        let room = self.pages.iter().find(|(_, p)| p.hosts.len() < most);
-        let page = room.map_or_else(
-            || {
-                let next = self.pages.keys().next_back().map_or(0, |n| n.0 + 1);
-                PageNo(next)
-            },
-            |(n, _)| *n,
-        );
+        let page = self.page_with_room(most);
         let p = self.pages.entry(page).or_default();
         p.hosts.insert(host.clone());
         p.urgent = true;
         page
     }
 
+    fn page_with_room(&self, most: usize) -> PageNo {
+        let has_room = |p: &HostsState| p.hosts.len() < most && p.moving.is_empty();
+        let found = self.pages.iter().find(|(_, p)| has_room(p));
+        let next = || self.pages.keys().next_back().map_or(0, |n| n.0 + 1);
+        found.map_or_else(|| PageNo(next()), |(n, _)| *n)
+    }
+
+    /// Spreads the machines of pages that list more than may be written now over further pages; says
+    /// which go where. The new pages are written when there is time, the old ones after them.
+    ///
+    /// Guards against pages written under a larger limit on values, which could never be written again.
+    pub fn split(&mut self) -> Vec<(HostId, PageNo)> {
+        let mut moved = Vec::new();
+        let large = self.pages.iter().filter(|(_, p)| p.hosts.len() > self.most);
+        for old in large.map(|(n, _)| *n).collect::<Vec<_>>() {
+            let Some(p) = self.pages.get_mut(&old) else {
+                continue;
+            };
+            let surplus: Vec<HostId> = p.hosts.iter().skip(self.most).cloned().collect();
+            p.moving = surplus.iter().cloned().collect();
+            p.hosts.retain(|h| !surplus.contains(h));
+            for host in surplus {
+                let page = self.page_with_room(self.most);
+                let p = self.pages.entry(page).or_default();
+                p.hosts.insert(host.clone());
+                p.stale_since = Some(LONG_AGO);
+                moved.push((host, page));
+            }
+        }
+        moved
+    }
+
+    /// Machines that are on a page of their own now, or gone, keep no other page from being written.
+    fn settle_moving(&mut self, now: Millis, settled: impl Fn(&HostId) -> bool) {
+        for p in self.pages.values_mut().filter(|p| !p.moving.is_empty()) {
+            p.moving.retain(|h| !settled(h));
+            if p.moving.is_empty() {
+                p.stale_since.get_or_insert(now);
+            }
+        }
+    }
+
     /// A machine is gone.
     pub fn leave(&mut self, now: Millis, page: PageNo, host: &HostId) {
         if let Some(p) = self.pages.get_mut(&page) {
             p.hosts.remove(host);
             p.stale_since.get_or_insert(now);
         }
+        self.settle_moving(now, |h| h == host);
     }
 
     /// What is known of a machine has changed.
@@ -270,7 +312,8 @@
     /// bound, if `lazy` ones are wanted.
     pub fn due(&self, now: Millis, bound: Millis, lazy: bool) -> Vec<PageNo> {
         let due = |p: &HostsState| {
-            p.urgent != lazy && (p.urgent || p.stale_since.is_some_and(|t| now - t > bound))
+            let due = p.urgent || p.stale_since.is_some_and(|t| now - t > bound);
+            due && p.urgent != lazy && p.moving.is_empty()
         };
         self.pages
             .iter()
@@ -291,6 +334,7 @@
         p.stamp = stamp;
         p.urgent = !p.hosts.is_subset(hosts);
         p.stale_since = (p.hosts != *hosts).then_some(now);
+        self.settle_moving(now, |h| hosts.contains(h));
     }
 
     /// A page was read again.
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -86,16 +86,32 @@
     pub spec: JobSpec,
     /// Time of day of the acceptance, in milliseconds; only for deadlines, never for safety.
     pub at_ms: u64,
-    /// Producers whose finish this job waits for. The users' protocol carries none today.
+    /// Producers whose finish this job waits for: those of `waitsOn` that were not done yet when it was
+    /// accepted.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub after: Vec<JobId>,
 }
 
-/// The finish mark. Kept for ever, so it holds no more than what users are told.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+/// The finish mark. Kept for ever, so it holds little more than what users are told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FinalRecord {
     pub phase: JobPhase,
     pub pieces: u32,
+    /// Time of day of the end of a job that others wait for, in milliseconds: a hint, from which a new
+    /// leader tells how long those have been ready.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub at_ms: Option<u64>,
+}
+
+impl FinalRecord {
+    /// The mark of a job that its user, or that of a job it needs, has cancelled.
+    pub fn cancelled(pieces: u32) -> FinalRecord {
+        FinalRecord {
+            phase: JobPhase::Cancelled,
+            pieces,
+            at_ms: None,
+        }
+    }
 }
 
 /// What each task of a job takes, and whose it is: a page says it itself, for a new leader must
--- a/tests/encodings.rs
+++ b/tests/encodings.rs
@@ -51,7 +51,7 @@
         r#""together":true,"scatter":false,"loaners":true,"guessS":240.0,"markEveryS":30.0,"markCostS":4.0,"dueS":900.0}"#
     );
     let open = OpenRecord {
-        spec: parse_submission(text.as_bytes()).unwrap(),
+        spec: parse_submission(text.as_bytes()).unwrap().spec,
         at_ms: 1_700_000_000_123,
         after: vec![JobId::from("wk-000001")],
     };
@@ -69,12 +69,15 @@
     let done = FinalRecord {
         phase: JobPhase::Done,
         pieces: 16,
+        at_ms: None,
     };
     stored(&done, r#"{"phase":"done","pieces":16}"#);
-    let cancelled = FinalRecord {
-        phase: JobPhase::Cancelled,
-        pieces: 16,
+    let waited_for = FinalRecord {
+        at_ms: Some(7),
+        ..done
     };
+    stored(&waited_for, r#"{"phase":"done","pieces":16,"at_ms":7}"#);
+    let cancelled = FinalRecord::cancelled(16);
     stored(&cancelled, r#"{"phase":"aborted","pieces":16}"#);
 }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -69,7 +69,7 @@
             "urgency": "normal", "pieces": 10 * GPUS, "cpus": 1, "gpus": 1, "ramGb": 1, "bundle": "i",
             "pullGb": 1, "together": false, "scatter": false, "loaners": false, "guessS": 50,
             "markEveryS": 0, "markCostS": 0});
-        let spec = parse_submission(body.to_string().as_bytes()).unwrap();
+        let spec = parse_submission(body.to_string().as_bytes()).unwrap().spec;
         let mut page = IntentsPage::default();
         for t in 0..10 * GPUS {
             let piece = TaskId::parse(&format!("{id}/{t}")).unwrap();
@@ -248,7 +248,7 @@
         "pullGb": 1, "together": false, "scatter": false, "loaners": false, "guessS": 4,
         "markEveryS": 0, "markCostS": 0});
     let record = OpenRecord {
-        spec: parse_submission(body.to_string().as_bytes()).unwrap(),
+        spec: parse_submission(body.to_string().as_bytes()).unwrap().spec,
         at_ms: 0,
         after: Vec::new(),
     };
--- a/tests/graph.rs
+++ b/tests/graph.rs
@@ -1,45 +1,135 @@
 //! The job graph: release, labels, groups.
 
-use chalklug::coordination::graph::{Graph, Label};
+use chalklug::coordination::graph::{Graph, JobTraits, Label, Release};
 use chalklug::ids::{JobId, Millis};
+use chalklug::protocol::users::Urgency;
 
 fn id(n: u32) -> JobId {
     JobId::from(format!("wk-{n}").as_str())
 }
 
+/// A job that runs for a second, with a deadline if one is given.
+fn traits(due: Option<Millis>) -> JobTraits {
+    JobTraits {
+        due,
+        run: Millis(1000),
+        urgency: Urgency::Low,
+    }
+}
+
+const PLAIN: JobTraits = JobTraits {
+    due: None,
+    run: Millis(1000),
+    urgency: Urgency::Low,
+};
+
 #[test]
 fn releases_on_the_last_producer_and_fails_consumers() {
     let mut g = Graph::default();
-    g.add(&id(3), &[id(1), id(2)], None);
-    g.add(&id(1), &[], None);
-    g.add(&id(2), &[], None);
+    g.add(&id(3), &[id(1), id(2)], PLAIN);
+    g.add(&id(1), &[], PLAIN);
+    g.add(&id(2), &[], PLAIN);
     assert!(g.released(&id(1)) && !g.released(&id(3)));
-    g.finished(&id(1));
+    g.finished(&id(1), Millis(10));
     assert!(!g.released(&id(3)));
-    g.finished(&id(2));
+    g.take_changes();
+    g.finished(&id(2), Millis(20));
     assert!(g.released(&id(3)));
-    g.add(&id(4), &[id(3)], None);
-    g.failed(&id(3));
+    let at = Some(Millis(20));
+    assert_eq!(g.take_changes().released, [Release { id: id(3), at }]);
+    g.add(&id(4), &[id(3)], PLAIN);
+    g.add(&id(5), &[id(4)], PLAIN);
+    g.cancelled(&id(3));
     g.recheck();
+    let changes = g.take_changes();
+    assert_eq!(changes.cancelled, [id(4), id(5)]);
+    assert!(changes.released.is_empty());
     assert!(!g.released(&id(4)) && !g.released(&id(3)));
+    g.add(&id(6), &[id(5)], PLAIN);
+    assert_eq!(g.take_changes().cancelled, [id(6)]);
+}
+
+/// What is no longer open is neither finished nor cancelled until its mark says so.
+#[test]
+fn a_closed_producer_releases_nobody_before_its_mark_is_known() {
+    let mut g = Graph::default();
+    g.add(&id(1), &[], PLAIN);
+    g.add(&id(2), &[id(1), id(9)], PLAIN);
+    g.take_changes();
+    assert_eq!(g.unknown_after(None, 9), [id(9)]);
+    g.closed(&id(1));
+    assert_eq!(g.unknown_after(None, 9), [id(1), id(9)]);
+    assert_eq!(g.unknown_after(Some(&id(1)), 9), [id(9), id(1)]);
+    g.forget(&id(1));
+    g.finished(&id(9), Millis(5));
+    assert!(!g.released(&id(2)));
+    assert_eq!(g.unknown_after(None, 9), [id(1)]);
+    g.finished(&id(1), Millis(3));
+    assert!(g.released(&id(2)));
+    // It was ready when the later of the two was done.
+    assert_eq!(g.take_changes().released[0].at, Some(Millis(5)));
+    assert!(g.unknown_after(None, 9).is_empty());
+}
+
+/// Deadlines, less the time of what lies behind, and priorities go backwards to all ancestors, and back
+/// when the consumer is cancelled.
+#[test]
+fn deadlines_and_priorities_come_from_the_consumers() {
+    let mut g = Graph::default();
+    g.add(&id(1), &[], PLAIN);
+    g.add(&id(2), &[id(1)], PLAIN);
+    let last = JobTraits {
+        due: Some(Millis(9000)),
+        run: Millis(500),
+        urgency: Urgency::Urgent,
+    };
+    g.add(&id(3), &[id(2)], last);
+    g.refresh();
+    let seen = |g: &Graph, n| (g.due(&id(n)), g.urgency(&id(n)));
+    assert_eq!(seen(&g, 2), (Some(Millis(8500)), Some(Urgency::Urgent)));
+    assert_eq!(seen(&g, 1), (Some(Millis(7500)), Some(Urgency::Urgent)));
+    g.cancelled(&id(3));
+    g.refresh();
+    assert_eq!(seen(&g, 2), (None, Some(Urgency::Low)));
+    assert_eq!(seen(&g, 1), (None, Some(Urgency::Low)));
+}
+
+/// Thousands of jobs in one chain, and before one consumer, are no danger to the stack.
+#[test]
+fn long_chains_and_wide_joins() {
+    let mut g = Graph::default();
+    for n in 0..5000 {
+        let after: Vec<JobId> = (n > 0).then(|| id(n - 1)).into_iter().collect();
+        g.add(&id(n), &after, PLAIN);
+    }
+    let all: Vec<JobId> = (0..5000).map(id).collect();
+    g.add(&id(9999), &all, traits(Some(Millis(9_000_000))));
+    g.refresh();
+    assert_eq!(g.depth(&id(9999)), 5000);
+    assert_eq!(g.due(&id(0)), Some(Millis(9_000_000 - 5_000_000)));
+    g.take_changes();
+    g.cancelled(&id(0));
+    assert_eq!(g.take_changes().cancelled.len(), 5000);
 }
 
 #[test]
 fn labels_walk_backwards_and_stages_group() {
     let mut g = Graph::default();
     let due = Some(Millis(9000));
-    g.add(&id(1), &[], None);
-    g.add(&id(2), &[id(1)], None);
+    g.add(&id(1), &[], PLAIN);
+    g.add(&id(2), &[id(1)], PLAIN);
     for n in [3, 4] {
-        g.add(&id(n), &[id(2)], None);
+        g.add(&id(n), &[id(2)], PLAIN);
     }
-    g.add(&id(5), &[id(3), id(4)], due);
-    g.add(&id(9), &[], None);
+    g.add(&id(5), &[id(3), id(4)], traits(due));
+    g.add(&id(9), &[], PLAIN);
+    g.refresh();
     let labels: Vec<Label> = (1..=5).map(|n| g.label(&id(n))).collect();
     use Label::{Latency as L, Throughput as T};
     assert_eq!(labels, [T, L, L, L, L]);
     assert_eq!(g.label(&id(9)), T);
-    assert_eq!(g.pressing(&id(1)), due);
+    // Three jobs of a second each lie behind it.
+    assert_eq!(g.due(&id(1)), Some(Millis(6000)));
     assert_eq!(g.group(&id(3)), [id(3), id(4)]);
     assert_eq!(g.group(&id(9)), [id(9)]);
     assert_eq!(g.depth(&id(5)), 3);
@@ -48,9 +138,10 @@
 #[test]
 fn a_cycle_is_never_released_and_harms_nobody() {
     let mut g = Graph::default();
-    g.add(&id(1), &[id(2)], None);
-    g.add(&id(2), &[id(1)], None);
-    g.add(&id(3), &[], None);
+    g.add(&id(1), &[id(2)], PLAIN);
+    g.add(&id(2), &[id(1)], PLAIN);
+    g.add(&id(3), &[], PLAIN);
     g.recheck();
+    g.refresh();
     assert!(!g.released(&id(1)) && !g.released(&id(2)) && g.released(&id(3)));
 }
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -8,12 +8,16 @@
 use chalklug::protocol::workers::{Cause, CheckInReply, Order, Report, TaskPhase};
 use serde_json::json;
 
+fn submission() -> serde_json::Value {
+    json!({"ref":"wk-000412","jobclass":"train","crew":"vision","shape":"standing","urgency":"urgent","pieces":16,
+        "cpus":8.0,"gpus":1.0,"ramGb":64.0,"bundle":"img-07","pullGb":6.2,"rigs":["g8"],"site":"a","together":true,
+        "scatter":false,"loaners":true,"guessS":240.0,"markEveryS":30.0,"markCostS":4.0,"dueS":900.0})
+}
+
 #[test]
 fn a_submission_reads_and_writes_back() {
-    let sent = json!({"ref":"wk-000412","jobclass":"train","crew":"vision","shape":"standing","urgency":"urgent","pieces":16,
-        "cpus":8.0,"gpus":1.0,"ramGb":64.0,"bundle":"img-07","pullGb":6.2,"rigs":["g8"],"site":"a","together":true,
-        "scatter":false,"loaners":true,"guessS":240.0,"markEveryS":30.0,"markCostS":4.0,"dueS":900.0});
-    let spec = parse_submission(sent.to_string().as_bytes()).unwrap();
+    let sent = submission();
+    let spec = parse_submission(sent.to_string().as_bytes()).unwrap().spec;
     assert_eq!(
         (spec.shape, spec.urgency),
         (Shape::Service, Urgency::Urgent)
@@ -24,7 +28,7 @@
         less.as_object_mut().unwrap().remove(optional);
     }
     less["unheard_of"] = json!([1, 2]);
-    let spec = parse_submission(less.to_string().as_bytes()).unwrap();
+    let spec = parse_submission(less.to_string().as_bytes()).unwrap().spec;
     assert_eq!((spec.rigs, spec.site, spec.due_s), (None, None, None));
     assert!(Urgency::Low < Urgency::Normal && Urgency::Urgent < Urgency::Production);
 }
@@ -149,3 +153,37 @@
         }
     ));
 }
+
+/// The jobs that a submission waits for: none if the field is null, absent or empty; each once; anything
+/// but a list of job ids is malformed.
+#[test]
+fn jobs_that_a_submission_waits_for() {
+    let with = |list: serde_json::Value| {
+        let mut body = submission();
+        body["waitsOn"] = list;
+        parse_submission(body.to_string().as_bytes()).map(|s| s.waits_on)
+    };
+    let none: Vec<JobId> = Vec::new();
+    let absent = parse_submission(submission().to_string().as_bytes()).unwrap();
+    assert_eq!(absent.waits_on, none);
+    assert_eq!(with(json!(null)).unwrap(), none);
+    assert_eq!(with(json!([])).unwrap(), none);
+    let two = [JobId::from("wk-1"), JobId::from("wk-2")];
+    assert_eq!(with(json!(["wk-2", "wk-1", "wk-2"])).unwrap(), two);
+    for bad in [
+        json!("wk-1"),
+        json!({"0": "wk-1"}),
+        json!([1]),
+        json!(["wk-1", null]),
+        json!(["job-1"]),
+        json!(true),
+    ] {
+        let malformed = with(bad.clone()).expect_err("not a list of job ids");
+        assert!(
+            malformed.reason.starts_with("waitsOn"),
+            "{bad}: {}",
+            malformed.reason
+        );
+        assert!(malformed.id.is_some());
+    }
+}
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,167 +1,21 @@
 //! The scenario runner: every `tests/scenarios/*.txt` is a test. A file says what is given, what
 //! happens when, and what is expected; `tests/scenarios/README.md` lists the words.
 
+#[path = "random/chains.rs"]
+mod chains;
+#[path = "random/faults.rs"]
+mod faults;
 mod world;
 
-use chalklug::coordination::Policy;
 use chalklug::ids::*;
-use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::state::{Change, Txn};
-use chalklug::protocol::users::{JobPhase, JobSpec, Shape, Urgency};
+use chalklug::protocol::users::JobPhase;
 use chalklug::protocol::workers::Order;
-use chalklug::settings::*;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
+use world::given::{defaults, given, spec, Words};
 use world::{Cut, World};
 
-/// Direct commands awaited at once.
-const MOST_DIRECT: usize = 96;
-
-/// Words after the first, as `name value` pairs; bare flags have an empty value.
-struct Words<'a>(Vec<&'a str>);
-
-const FLAGS: [&str; 5] = ["together", "scatter", "spot", "never", "mistaken"];
-
-impl<'a> Words<'a> {
-    fn get(&self, name: &str) -> Option<&'a str> {
-        let at = self.0.iter().position(|w| *w == name)?;
-        if FLAGS.contains(&name) {
-            return Some("");
-        }
-        self.0.get(at + 1).copied()
-    }
-    fn num(&self, name: &str, default: f64) -> f64 {
-        self.get(name).map_or(default, |v| {
-            v.parse().unwrap_or_else(|_| panic!("{name}: {v}"))
-        })
-    }
-    fn has(&self, name: &str) -> bool {
-        self.0.contains(&name)
-    }
-}
-
-struct Given {
-    facts: Facts,
-    rigs: Vec<MachineTypeInfo>,
-    machines: u32,
-    seed: u64,
-    campaigns: bool,
-}
-
-fn defaults() -> Given {
-    Given {
-        facts: Facts {
-            clock_error_ms: 0.0,
-            teams: Vec::new(),
-            objectives: Vec::new(),
-            workers: Workers {
-                report_s: 3.0,
-                lease_s: 20.0,
-                gang_wait_s: 30.0,
-                gang_peer_s: 4.0,
-                cancel_s: 40.0,
-            },
-            state: StateLimits {
-                rps: 100.0,
-                write_rps: 25.0,
-                value_kb: 4.0,
-                txn_ops: 8,
-            },
-            cloud: CloudLimits {
-                rps: 5.0,
-                list_lag_s: 6.0,
-            },
-            quota: Quota {
-                cores: 0.1,
-                memory_mb: 100.0,
-                max_sockets: 1000,
-            },
-        },
-        rigs: Vec::new(),
-        machines: 20,
-        seed: 1,
-        campaigns: false,
-    }
-}
-
-fn given(g: &mut Given, first: &str, rest: &[&str]) {
-    let w = Words(rest.to_vec());
-    match first {
-        "team" => g.facts.teams.push(Team {
-            name: rest[0].into(),
-            cpus: 0.0,
-            cpus_max: 0.0,
-            gpus: w.num("gpus", 0.0),
-            gpus_max: w.num("max", 0.0),
-        }),
-        "rig" => g.rigs.push(MachineTypeInfo {
-            name: MachineType::from(rest[0]),
-            cpus: w.num("cpus", 64.0),
-            gpus: w.num("gpus", 8.0),
-            ram_gb: w.num("ram", 256.0),
-            cache_gb: 100.0,
-            fetch_gb_per_s: w.num("fetch", 1.0),
-            price: w.num("price", 10.0),
-            spot_price: w.num("spotprice", 4.0),
-            boot_s: w.num("boot", 5.0),
-            sites: w
-                .get("sites")
-                .unwrap_or("a")
-                .split(',')
-                .map(Zone::from)
-                .collect(),
-        }),
-        "objective" => g.facts.objectives.push(Objective {
-            kind: rest[0].into(),
-            class: Some(rest[1].into()),
-            within_s: Some(w.num("within", 60.0)),
-            times: None,
-        }),
-        "machines" => g.machines = rest[0].parse().unwrap(),
-        "seed" => g.seed = rest[0].parse().unwrap(),
-        "lease" => g.facts.workers.lease_s = rest[0].parse().unwrap(),
-        "cancel-within" => g.facts.workers.cancel_s = rest[0].parse().unwrap(),
-        "campaigns" => g.campaigns = true,
-        other => panic!("not a word of scenarios: {other}"),
-    }
-}
-
-fn spec(rest: &[&str]) -> JobSpec {
-    let w = Words(rest.to_vec());
-    JobSpec {
-        id: JobId::parse(rest[0]).expect("a job id"),
-        class: w.get("class").unwrap_or("any").into(),
-        team: w.get("team").unwrap_or("blue").into(),
-        shape: match w.get("shape").unwrap_or("array") {
-            "array" => Shape::Array,
-            "gang" => Shape::Gang,
-            "standing" => Shape::Service,
-            s => panic!("shape {s}"),
-        },
-        urgency: match w.get("urgency").unwrap_or("normal") {
-            "low" => Urgency::Low,
-            "normal" => Urgency::Normal,
-            "urgent" => Urgency::Urgent,
-            _ => Urgency::Production,
-        },
-        pieces: w.num("pieces", 1.0) as u32,
-        cpus: w.num("cpus", 1.0),
-        gpus: w.num("gpus", 1.0),
-        ram_gb: 1.0,
-        image: Image::from(w.get("image").unwrap_or("img")),
-        image_gb: w.num("gb", 2.0),
-        rigs: None,
-        site: w.get("site").map(Zone::from),
-        together: w.has("together"),
-        scatter: w.has("scatter"),
-        spot: w.has("spot"),
-        guess_s: w.num("guess", w.num("run", 10.0)),
-        checkpoint_s: w.num("checkpoint", 0.0),
-        save_s: w.num("save", 1.0),
-        due_s: w.get("due").map(|v| v.parse().unwrap()),
-    }
-}
-
 fn secs(s: &str) -> Millis {
     Millis::from_secs(s.parse().unwrap_or_else(|_| panic!("not a time: {s}")))
 }
@@ -292,6 +146,7 @@
             let mark = FinalRecord {
                 phase: JobPhase::Done,
                 pieces: spec.pieces,
+                at_ms: None,
             };
             vec![
                 delete(open_key(&id)),
@@ -435,13 +290,7 @@
     for e in events.values().flatten() {
         rules_kept &= !(e[0] == "expect" && e[1] == "broken");
     }
-    let policy = Policy {
-        facts: g.facts,
-        operator: Operator::default(),
-        most_direct: MOST_DIRECT,
-    };
-    let mut w = World::new(policy, g.rigs, g.machines, g.seed);
-    w.campaigns = g.campaigns;
+    let mut w = g.world();
     for (t, list) in events {
         w.run_until(Millis(t));
         for e in list {
@@ -482,212 +331,3 @@
     }
     assert!(failed.is_empty(), "failed: {failed:?}");
 }
-
-/// No rule is broken, and every job that wasn't cancelled is done.
-fn ended_well(w: &mut World, seed: u64, cancelled: &[JobId]) {
-    w.checker.at_end(w.now);
-    let broken = &w.checker.broken;
-    assert!(broken.is_empty(), "seed {seed}: {:?}", w.checker.first);
-    for id in w.specs.keys().filter(|id| !cancelled.contains(id)) {
-        assert_eq!(w.poll(id), Some(JobPhase::Done), "seed {seed}: {id}");
-    }
-}
-
-/// Pairs of troubles, random and seeded, with leaders that come and go by their leases: the rules hold
-/// and every job comes to its end.
-#[test]
-fn random_pairs_of_troubles_break_no_rule() {
-    use rand::{Rng, SeedableRng};
-    log_if_asked();
-    let number = |name: &str| std::env::var(name).ok().and_then(|n| n.parse().ok());
-    let first: u64 = number("FIRST").unwrap_or(1);
-    for seed in first..=number("SEEDS").unwrap_or(16u64) {
-        let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
-        let mut g = defaults();
-        for line in [
-            "team blue gpus 8 max 24",
-            "team red gpus 8 max 20",
-            "rig box gpus 4 boot 6 sites a,b,c",
-        ] {
-            let words: Vec<&str> = line.split(' ').collect();
-            given(&mut g, words[0], &words[1..]);
-        }
-        let policy = Policy {
-            facts: g.facts,
-            operator: Operator::default(),
-            most_direct: MOST_DIRECT,
-        };
-        let mut w = World::new(policy, g.rigs, 14, seed);
-        w.campaigns = true;
-        w.copies = if seed % 3 == 0 { 0.3 } else { 0.0 };
-        w.repeats = w.copies;
-        w.lead();
-        let mut cancelled = Vec::new();
-        let mut next = 0u32;
-        for _ in 0..10 {
-            for _ in 0..rng.random_range(1..4) {
-                let (id, pieces) = (format!("wk-{next:06}"), rng.random_range(1..6).to_string());
-                let run = rng.random_range(3..40).to_string();
-                let team = ["blue", "red"][next as usize % 2];
-                next += 1;
-                let mut words = vec![id.as_str(), "team", team, "pieces", &pieces, "run", &run];
-                words.extend(match rng.random_range(0..5) {
-                    0 => vec!["shape", "gang", "together"],
-                    1 => vec!["scatter", "checkpoint", "4"],
-                    2 => vec!["site", "b"],
-                    3 => vec!["together"],
-                    _ => vec!["spot", "checkpoint", "5"],
-                });
-                w.submit(spec(&words), run.parse().unwrap(), Vec::new());
-            }
-            w.run_until(w.now + Millis(rng.random_range(2_000..9_000)));
-            for _ in 0..2 {
-                trouble(&mut w, &mut rng);
-                w.run_until(w.now + Millis(rng.random_range(100..4_000)));
-                // Users cancel in the very moment, too.
-                if rng.random_bool(0.4) {
-                    let id = JobId::from(format!("wk-{:06}", rng.random_range(0..next)).as_str());
-                    if w.cancel(&id) {
-                        cancelled.push(id);
-                    }
-                }
-            }
-            w.run_until(w.now + Millis(rng.random_range(500..30_000)));
-            w.late_writes = 0.0;
-        }
-        (w.copies, w.repeats) = (0.0, 0.0);
-        w.run_until(w.now + Millis(500_000));
-        ended_well(&mut w, seed, &cancelled);
-    }
-}
-
-/// One trouble, drawn; it ends by itself.
-fn trouble(w: &mut World, rng: &mut rand::rngs::StdRng) {
-    use rand::Rng;
-    let now = w.now;
-    let short = now + Millis(rng.random_range(1_000..12_000));
-    let long = now + Millis(rng.random_range(12_000..60_000));
-    let hosts: Vec<HostId> = w.workers.keys().cloned().collect();
-    let some = |rng: &mut rand::rngs::StdRng| hosts[rng.random_range(0..hosts.len())].clone();
-    let on_machine = !hosts.is_empty() && rng.random_bool(0.5);
-    if on_machine {
-        for _ in 0..rng.random_range(1..4) {
-            let host = some(rng);
-            let until = if rng.random_bool(0.5) { short } else { long };
-            let m = w.workers.get_mut(&host).unwrap();
-            match rng.random_range(0..6) {
-                0 => m.hang_until(until),
-                1 => m.cut_until(until, Cut::Hold),
-                2 => m.cut_until(until, Cut::Drop),
-                3 => m.deaf_until(until),
-                _ => m.mute_until(until),
-            }
-        }
-        return;
-    }
-    match rng.random_range(0..11) {
-        0 => w.leader_refused = short,
-        1 => w.leader_refused = long,
-        2 => w.state_down = short,
-        3 => w.state_down = long,
-        4 => {
-            w.leader_refused = long;
-            w.peers_cut = long;
-            w.state_down = now + Millis(200);
-        }
-        5 => w.watch_stuck = long,
-        6 => w.state_late = short,
-        9 => w.state_slow = long,
-        10 => w.late_writes = 0.4,
-        7 => w.cloud_down = long,
-        _ => w.crash(),
-    }
-}
-
-/// A day of random faults, bounded and seeded: the rules hold and every job comes to its end.
-#[test]
-fn random_faults_break_no_rule() {
-    use rand::{Rng, SeedableRng};
-    log_if_asked();
-    let first: u64 = std::env::var("FIRST")
-        .ok()
-        .and_then(|n| n.parse().ok())
-        .unwrap_or(1);
-    let seeds = std::env::var("SEEDS").ok().and_then(|n| n.parse().ok());
-    for seed in first..=seeds.unwrap_or(12u64) {
-        let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
-        let mut g = defaults();
-        given(&mut g, "team", &["blue", "gpus", "8", "max", "24"]);
-        given(&mut g, "team", &["red", "gpus", "8", "max", "20"]);
-        given(
-            &mut g,
-            "rig",
-            &["box", "gpus", "4", "boot", "6", "sites", "a,b,c"],
-        );
-        let policy = Policy {
-            facts: g.facts,
-            operator: Operator::default(),
-            most_direct: MOST_DIRECT,
-        };
-        let mut w = World::new(policy, g.rigs, 14, seed);
-        w.lead();
-        if seed % 2 == 1 {
-            w.copies = 0.4;
-            w.repeats = 0.4;
-        }
-        let mut cancelled = Vec::new();
-        for n in 0..24u32 {
-            let id = format!("wk-{n:06}");
-            let (team, pieces, run) = (
-                ["blue", "red"][n as usize % 2],
-                rng.random_range(1..8).to_string(),
-                rng.random_range(3..25).to_string(),
-            );
-            let mut words = vec![id.as_str(), "team", team, "pieces", &pieces, "run", &run];
-            let shape = rng.random_range(0..4);
-            words.extend(match shape {
-                0 => vec!["shape", "gang", "together"],
-                1 => vec!["scatter", "checkpoint", "4"],
-                2 => vec!["spot", "checkpoint", "5"],
-                _ => vec!["together"],
-            });
-            w.submit(spec(&words), run.parse().unwrap(), Vec::new());
-            let hosts: Vec<HostId> = w.workers.keys().cloned().collect();
-            let pick = (!hosts.is_empty()).then(|| hosts[rng.random_range(0..hosts.len())].clone());
-            let until = w.now + Millis(rng.random_range(2_000..30_000));
-            match (rng.random_range(0..12), pick) {
-                (0, Some(h)) => w.workers.get_mut(&h).unwrap().hang_until(until),
-                (1, Some(h)) => w.workers.get_mut(&h).unwrap().cut_until(until, Cut::Hold),
-                (2, Some(h)) => w.workers.get_mut(&h).unwrap().cut_until(until, Cut::Drop),
-                (3, Some(h)) => drop(w.workers.remove(&h)),
-                (10, Some(h)) => w.workers.get_mut(&h).unwrap().deaf_until(until),
-                (11, Some(h)) => {
-                    let long = until + Millis(60_000);
-                    w.workers.get_mut(&h).unwrap().deaf_until(long)
-                }
-                (4, _) => w.state_mute = w.now + Millis(2000),
-                (5, _) => w.state_late = w.now + Millis(4000),
-                (6, _) => w.cloud_down = until,
-                (7, _) => w.drop_reports = 0.2,
-                (8, _) => w.state_down = w.now + Millis(4000),
-                _ => w.drop_reports = 0.0,
-            }
-            if rng.random_bool(0.15) {
-                let id = JobId::from(id.as_str());
-                if w.cancel(&id) {
-                    cancelled.push(id);
-                }
-            }
-            w.run_until(w.now + Millis(rng.random_range(500..9_000)));
-            if rng.random_bool(0.25) {
-                w.crash();
-                w.run_until(w.now + Millis(rng.random_range(100..6_000)));
-                w.lead();
-            }
-        }
-        w.drop_reports = 0.0;
-        let end = w.now + Millis(400_000);
-        w.run_until(end);
-        ended_well(&mut w, seed, &cancelled);
-    }
-}
--- a/tests/world/checker.rs
+++ b/tests/world/checker.rs
@@ -12,6 +12,7 @@
 pub struct Checker {
     facts: Facts,
     jobs: BTreeMap<JobId, JobSpec>,
+    accepted: BTreeMap<JobId, Millis>,
     cancelled: BTreeMap<JobId, Millis>,
     done: BTreeMap<JobId, BTreeSet<u32>>,
     told: BTreeMap<JobId, JobPhase>,
@@ -33,6 +34,8 @@
 
 /// Once the troubles are over, no job may wait longer than this while there is room for it.
 const LONGEST_WAIT: Millis = Millis(90_000);
+/// After the troubles a leader has this long to write the marks of jobs cancelled with others.
+const SETTLING: Millis = Millis(20_000);
 /// A leader that hears of a cancellation may send launches for this much longer.
 const HEARING: Millis = Millis(1_000);
 
@@ -45,6 +48,7 @@
             waits: BTreeMap::new(),
             facts,
             jobs: BTreeMap::new(),
+            accepted: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             done: BTreeMap::new(),
             told: BTreeMap::new(),
@@ -77,6 +81,7 @@
         if !one || !within {
             self.breaks(now, "accepted_unfit", spec.id.to_string());
         }
+        self.accepted.insert(spec.id.clone(), now);
         self.after.insert(spec.id.clone(), after);
         self.jobs.insert(spec.id.clone(), spec);
     }
@@ -102,6 +107,21 @@
         );
     }
 
+    /// When the first of all jobs that a job needs, directly or through others, was cancelled.
+    fn ancestor_cancelled(&self, id: &JobId) -> Option<Millis> {
+        let mut seen = BTreeSet::new();
+        let mut todo: Vec<&JobId> = self.after[id].iter().collect();
+        let mut first: Option<Millis> = None;
+        while let Some(ancestor) = todo.pop() {
+            if seen.insert(ancestor) {
+                let at = self.cancelled.get(ancestor).copied();
+                first = first.into_iter().chain(at).min();
+                todo.extend(self.after.get(ancestor).into_iter().flatten());
+            }
+        }
+        first
+    }
+
     fn breaks(&mut self, now: Millis, rule: &str, what: String) {
         self.broken.insert(rule.into());
         self.first
@@ -109,7 +129,7 @@
     }
 
     pub fn look(&mut self, now: Millis, workers: &BTreeMap<HostId, Worker>, store: &Store) {
-        self.look_at_machines(now, workers);
+        self.look_at_machines(now, workers, store);
         self.look_at_users(now, store);
         if now.0 % 1000 == 0 {
             self.look_at_waiting(now, workers, store);
@@ -208,7 +228,7 @@
         }
     }
 
-    fn look_at_machines(&mut self, now: Millis, workers: &BTreeMap<HostId, Worker>) {
+    fn look_at_machines(&mut self, now: Millis, workers: &BTreeMap<HostId, Worker>, store: &Store) {
         let mut on = BTreeSet::new();
         for w in workers.values() {
             for ((p, a), t) in &w.tasks {
@@ -231,6 +251,10 @@
                 .filter(|(q, h, _, _)| q.job == p.job && (*q != p || *h != host))
                 .map(|(_, h, _, _)| &workers[h])
                 .collect();
+            let done = |id: &JobId| store.phase(id) == Some(JobPhase::Done);
+            if !self.after[&p.job].iter().all(done) {
+                self.breaks(now, "too_early", format!("{p} on {host}"));
+            }
             if on.iter().any(|(q, h, _, _)| *q == p && *h != host) {
                 self.breaks(now, "ran_twice", format!("{p} on {host} and elsewhere"));
             }
@@ -285,7 +309,18 @@
             }
             let before = self.told.insert(id.clone(), phase);
             let last = matches!(before, Some(JobPhase::Done | JobPhase::Cancelled));
-            let unasked = phase == JobPhase::Cancelled && !self.cancelled.contains_key(&id);
+            let ancestor = self.ancestor_cancelled(&id);
+            let unasked = phase == JobPhase::Cancelled
+                && !self.cancelled.contains_key(&id)
+                && ancestor.is_none();
+            // Controllers answer from the ancestors' marks, at any time; the job's own mark must follow
+            // within the time, unless some trouble keeps the leader from writing it.
+            let limit = Millis::from_secs(self.facts.workers.cancel_s);
+            let calm = now - self.troubled > SETTLING;
+            let since = ancestor.map(|t| t.max(self.accepted[&id]));
+            if phase == JobPhase::Queued && calm && since.is_some_and(|t| now - t > limit) {
+                self.breaks(now, "orphaned", id.to_string());
+            }
             if (last && before != Some(phase)) || unasked {
                 self.breaks(now, "went_back", id.to_string());
             }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -4,8 +4,10 @@
 
 pub mod checker;
 mod cloud;
+pub mod given;
 mod leading;
 pub mod store;
+pub mod troubles;
 pub mod worker;
 
 use chalklug::coordination::leadership::Authority;
@@ -178,16 +180,21 @@
             at_ms: 0,
             after: after.clone(),
         };
+        // As controllers do: with a cancelled producer it is cancelled from the start.
+        let named_cancelled = |p: &JobId| self.store.phase(p) == Some(JobPhase::Cancelled);
+        let first = if after.iter().any(named_cancelled) {
+            let mark = FinalRecord::cancelled(spec.pieces);
+            Change::put(final_key(&id), serde_json::to_value(&mark).unwrap())
+        } else {
+            Change::put(open_key(&id), serde_json::to_value(&record).unwrap())
+        };
         let absent = |key| Guard {
             key,
             stamp: Stamp(0),
         };
         let txn = Txn {
             guards: vec![absent(open_key(&id)), absent(final_key(&id))],
-            apply: vec![Change::put(
-                open_key(&id),
-                serde_json::to_value(&record).unwrap(),
-            )],
+            apply: vec![first],
         };
         assert!(self.store.apply(&txn).is_some(), "a job is submitted once");
         self.checker.accepted(self.now, spec, after);
@@ -202,10 +209,7 @@
         let Some(open) = self.store.get(&open_key(id)) else {
             return false;
         };
-        let mark = FinalRecord {
-            phase: JobPhase::Cancelled,
-            pieces: self.specs[id].pieces,
-        };
+        let mark = FinalRecord::cancelled(self.specs[id].pieces);
         let txn = Txn {
             guards: vec![Guard {
                 key: open_key(id),
@@ -561,6 +565,19 @@
                     Message::ToCore(leader, Event::Reread { seq, items }),
                 );
             }
+            Effect::ReadMarks { ids } => {
+                let mark = |id: &JobId| {
+                    let item = self.store.get(&final_key(id))?;
+                    Some(serde_json::from_value(item.data).unwrap())
+                };
+                let marks = ids.iter().map(|id| (id.clone(), mark(id))).collect();
+                let wait = self.leader_refused.max(self.state_down) - now;
+                let wait = if self.campaigns { wait.0.max(0) } else { 0 };
+                self.send(
+                    wait + 20,
+                    Message::ToCore(leader, Event::MarksRead { marks }),
+                );
+            }
             Effect::Direct {
                 host,
                 seq,
