--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -2,6 +2,7 @@
 //! workers, met over their published protocols: bad input, a job that runs, a kill, a restart.
 //! Order and outcome are asserted, not time: every wait is for a condition, with a generous end.
 
+mod chains;
 mod standins;
 
 use serde_json::{json, Value};
