--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: what is ignored, what is refused, and that an error names file, field and reason.
 
+use chalklug::settings::StateLimits;
 use std::process::Command;
 
 const GOOD: &str = r#"
@@ -59,6 +60,8 @@
 #[test]
 fn settings_are_checked() {
     assert_eq!(check("good", GOOD, None).0, 0);
+    let next = format!("{GOOD}[facts.state.next]\nvalue_kb = 2.0\nwrite_rps = 18.0\n");
+    assert_eq!(check("next-good", &next, None).0, 0);
     let close = GOOD.replace("cancel_s = 40.0", "cancel_s = 25.0");
     assert_eq!(check("close", &close, None).0, 0);
     assert_eq!(check("own", GOOD, Some(r#"{"idle_boots": 2.0}"#)).0, 0);
@@ -87,6 +90,18 @@
             None,
             "lease_s",
         ),
+        (
+            "next",
+            format!("{GOOD}[facts.state.next]\nvalue_kb = -2.0\n"),
+            None,
+            "facts.state.next.value_kb",
+        ),
+        (
+            "next-ops",
+            format!("{GOOD}[facts.state.next]\ntxn_ops = 2\n"),
+            None,
+            "facts.state.next.txn_ops",
+        ),
         (
             "addr",
             GOOD.replace("127.0.0.1:1\"", "nowhere\""),
@@ -118,6 +133,24 @@
     }
 }
 
+/// Limits to come are kept to from the start, each for itself; without any, nothing changes.
+#[test]
+fn the_lower_limits_of_the_state_service_hold() {
+    let limits = |text: &str| -> StateLimits {
+        let limits: StateLimits = toml::from_str(text).unwrap();
+        limits.lowest()
+    };
+    let now = "rps = 100.0\nwrite_rps = 25.0\nvalue_kb = 4.0\ntxn_ops = 8\n";
+    let same = limits(now);
+    assert_eq!((same.rps, same.write_rps), (100.0, 25.0));
+    assert_eq!((same.value_kb, same.txn_ops), (4.0, 8));
+    let next = limits(&format!(
+        "{now}[next]\nvalue_kb = 2.0\ntxn_ops = 20\nwrite_rps = 18.0\n"
+    ));
+    assert_eq!((next.rps, next.write_rps), (100.0, 18.0));
+    assert_eq!((next.value_kb, next.txn_ops), (2.0, 8));
+}
+
 #[test]
 fn the_committed_schema_is_the_code_s() {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/operator.schema.json");
