--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -165,11 +165,7 @@
         for page in &pages {
             self.load_hosts(now, page)?;
         }
-        for (host, page) in self.writer.hosts.split() {
-            if let Some(m) = self.machines.get_mut(&host) {
-                m.page = Some(page);
-            }
-        }
+        self.split_host_pages();
         Ok(())
     }
 
--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -4,6 +4,7 @@
 //! can do nothing. After an unclear outcome the keys are read again before anything else is
 //! written.
 
+mod limits;
 mod outcomes;
 
 use super::{Core, Effect};
@@ -18,6 +19,7 @@
     FinalRecord, HostNote, HostsPage, IntentsPage, JobTakes, LeadRecord, CHUNK, HINTS, LEAD, TOKEN,
 };
 use crate::transport::budget::Budget;
+use limits::WriteLimits;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -73,6 +75,7 @@
 #[derive(Debug)]
 pub struct Writer {
     flight: Flight,
+    limits: WriteLimits,
     budget: Budget,
     not_before: Millis,
     /// When the last transaction was begun.
@@ -114,11 +117,6 @@
 const REFUSED: Millis = Millis(300);
 /// An answer this late is taken for none, should the runtime have lost it.
 const LOST: Millis = Millis(8_000);
-/// Bytes that a machine takes on its page, beyond its name, with some images named.
-const HOST_BYTES: usize = 60;
-/// Bytes of a machine's name on its page, and of the kinds and images that a page names, at most.
-const HOST_NAME_BYTES: usize = 16;
-const HOST_PAGE_NAMES: usize = 1000;
 /// Images named for each machine: the most that fits.
 const HOST_IMAGES: [usize; 4] = [16, 10, 6, 3];
 
@@ -127,15 +125,15 @@
     pub fn new(state: &StateLimits, now: Millis) -> Writer {
         // The rest is left to submissions, cancellations and the lease.
         let mine = state.write_rps * 0.7;
-        let bytes = value_bytes(state);
-        let most = (bytes - (bytes / 4).min(HOST_PAGE_NAMES)) / (HOST_BYTES + HOST_NAME_BYTES);
+        let limits = WriteLimits::new(state);
         Writer {
             flight: Flight::None,
+            limits,
             budget: Budget::new(mine, mine),
             not_before: Millis(0),
             last: Millis(i64::MIN / 4),
             intents: IntentPages::default(),
-            hosts: HostPages::new(most),
+            hosts: HostPages::new(limits.value_bytes),
             progress: BTreeMap::new(),
             progress_at: Millis(0),
             orphaned_progress: BTreeMap::new(),
@@ -170,11 +168,6 @@
     }
 }
 
-/// The bytes that one value may take, with a little room.
-fn value_bytes(state: &StateLimits) -> usize {
-    (state.value_kb * 1024.0 * 0.95) as usize
-}
-
 /// A transaction being put together within the service's limits.
 struct Draft {
     guards: BTreeMap<String, Stamp>,
@@ -273,7 +266,7 @@
             guards: BTreeMap::from([(LEAD.to_string(), self.lead.stamp)]),
             apply: Vec::new(),
             works: Vec::new(),
-            most_ops: self.policy.facts.state.txn_ops,
+            most_ops: self.writer.limits.ops,
             bytes: 0,
         };
         self.draft_raise(now, &mut draft);
@@ -371,7 +364,7 @@
 
     /// A page of machines as it is written: with hints about images, if they fit.
     fn hosts_page(&self, hosts: &BTreeSet<HostId>) -> serde_json::Value {
-        let most = value_bytes(&self.policy.facts.state);
+        let most = self.writer.limits.value_bytes;
         for images in HOST_IMAGES {
             let page = self.hosts_page_with(hosts, images);
             if page.to_string().len() <= most {
@@ -476,7 +469,7 @@
     }
 
     fn pack_launches(&self, intents: &IntentPages, draft: &mut Draft, spare: usize) {
-        let most_bytes = value_bytes(&self.policy.facts.state);
+        let most_bytes = self.writer.limits.value_bytes;
         let drafted: BTreeSet<StartKey> = draft.launches().cloned().collect();
         let mut waiting = intents
             .waiting()
@@ -660,7 +653,7 @@
     fn draft_hints(&self, now: Millis, draft: &mut Draft) {
         let due = self.writer.hints_news && now - self.writer.hints_at > HINTS_EVERY;
         if let (true, Ok(data)) = (due, serde_json::to_value(self.hints(now))) {
-            let small = data.to_string().len() as f64 <= self.policy.facts.state.value_kb * 900.0;
+            let small = data.to_string().len() <= self.writer.limits.value_bytes;
             if small {
                 let apply = vec![Change::put(HINTS.into(), data)];
                 draft.add(vec![(HINTS.into(), self.writer.hints)], apply, Work::Hints);
--- a/src/runtime/effects.rs
+++ b/src/runtime/effects.rs
@@ -24,6 +24,7 @@
             Ok(TxnOutcome::Applied(epoch)) => Event::Written { seq, epoch },
             Ok(TxnOutcome::Conflict(failed)) => Event::WriteUnclear { seq, failed },
             Err(StateError::Refused) => Event::NotWritten { seq },
+            Err(StateError::Rejected) => Event::WriteRejected { seq },
             Err(_) => Event::WriteUnclear {
                 seq,
                 failed: Vec::new(),
--- a/src/runtime/http_api.rs
+++ b/src/runtime/http_api.rs
@@ -209,7 +209,9 @@
     };
     if !lost || known {
         let here = match named {
-            None => users::submit(node, body).await,
+            None => tokio::time::timeout(time, users::submit(node, body))
+                .await
+                .unwrap_or_else(|_| Reply::busy("the state service answers too slowly")),
             Some(None) => users::poll(node, &rest[1..]).await,
             Some(Some((id, _))) => users::cancel(node, id).await,
         };
--- a/src/runtime/state_client.rs
+++ b/src/runtime/state_client.rs
@@ -13,6 +13,8 @@
 pub enum StateError {
     /// Certainly not executed, nor will be.
     Refused,
+    /// Not executed, nor would it be if it were sent again.
+    Rejected,
     /// May have been executed, or may yet be.
     Unclear,
     /// A watch began too far back.
@@ -153,7 +155,7 @@
                     return Err(StateError::NoLease);
                 }
                 tracing::error!(answer = %text, "the state service calls a transaction malformed");
-                Err(StateError::Refused)
+                Err(StateError::Rejected)
             }
             _ => Err(StateError::Unclear),
         }
--- a/src/storage/pages.rs
+++ b/src/storage/pages.rs
@@ -197,6 +197,11 @@
     }
 }
 
+/// Bytes that a machine takes on its page, beyond its name, with some images named.
+const HOST_BYTES: usize = 60;
+/// Bytes of a machine's name on its page, and of the kinds and images that a page names, at most.
+const HOST_NAME_BYTES: usize = 16;
+const HOST_PAGE_NAMES: usize = 1000;
 /// A page out of date since then is written as soon as there is time.
 const LONG_AGO: Millis = Millis(i64::MIN / 4);
 
@@ -222,12 +227,20 @@
 }
 
 impl HostPages {
-    /// Pages of at most so many machines each.
-    pub fn new(most: usize) -> HostPages {
-        HostPages {
+    /// Pages of at most so many bytes each.
+    pub fn new(value_bytes: usize) -> HostPages {
+        let mut pages = HostPages {
             pages: BTreeMap::new(),
-            most: most.max(1),
-        }
+            most: 1,
+        };
+        pages.hold_at_most(value_bytes);
+        pages
+    }
+
+    /// From now on a page is to take at most so many bytes: `split` makes room on those that are larger.
+    pub fn hold_at_most(&mut self, value_bytes: usize) {
+        let for_machines = value_bytes - (value_bytes / 4).min(HOST_PAGE_NAMES);
+        self.most = (for_machines / (HOST_BYTES + HOST_NAME_BYTES)).max(1);
     }
 
     /// A page as a new leader found it.
@@ -269,13 +282,17 @@
                 continue;
             };
             let surplus: Vec<HostId> = p.hosts.iter().skip(self.most).cloned().collect();
-            p.moving = surplus.iter().cloned().collect();
+            // Only what is stored here keeps the page from being written.
+            let stored = surplus.iter().filter(|_| p.stamp != Stamp(0));
+            p.moving.extend(stored.cloned());
             p.hosts.retain(|h| !surplus.contains(h));
+            let urgent = p.urgent;
             for host in surplus {
                 let page = self.page_with_room(self.most);
                 let p = self.pages.entry(page).or_default();
                 p.hosts.insert(host.clone());
                 p.stale_since = Some(LONG_AGO);
+                p.urgent |= urgent;
                 moved.push((host, page));
             }
         }
--- a/tests/upgrade/repacking.rs
+++ b/tests/upgrade/repacking.rs
@@ -8,6 +8,7 @@
 use chalklug::ids::*;
 use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::state::{Change, Txn};
+use chalklug::protocol::users::parse_submission;
 use chalklug::settings::Operator;
 use chalklug::storage::records::*;
 use std::collections::BTreeSet;
@@ -20,15 +21,19 @@
 const VALUE_BYTES: usize = 2 * 1024;
 const TXN_OPS: usize = 4;
 
-fn policy() -> Arc<Policy> {
+/// The settings name the limits to come.
+const ANNOUNCED: &str = "next = { write_rps = 18.0, value_kb = 2.0, txn_ops = 4 }";
+
+fn policy(next: &str) -> Arc<Policy> {
     let text = r#"
         teams = [{ name = "blue", gpus = 800.0, gpus_max = 1600.0 }]
         workers = { report_s = 5.0, lease_s = 26.0, gang_wait_s = 40.0, gang_peer_s = 4.0, cancel_s = 51.0 }
-        state = { rps = 100.0, write_rps = 25.0, value_kb = 8.0, txn_ops = 20, next = { write_rps = 18.0, value_kb = 2.0, txn_ops = 4 } }
+        state = { rps = 100.0, write_rps = 25.0, value_kb = 8.0, txn_ops = 20, NEXT }
         cloud = { rps = 6.0, list_lag_s = 6.0 }
         quota = { cores = 0.1, memory_mb = 150.0, max_sockets = 3000 }
     "#;
-    let mut facts: chalklug::settings::Facts = toml::from_str(text).expect("facts");
+    let text = text.replace("NEXT", next);
+    let mut facts: chalklug::settings::Facts = toml::from_str(&text).expect("facts");
     facts.state = facts.state.lowest();
     Arc::new(Policy {
         facts,
@@ -77,7 +82,7 @@
     store
 }
 
-fn take_over(store: &Store, now: Millis, token: u64) -> Core {
+fn take_over(store: &Store, now: Millis, token: u64, next: &str) -> Core {
     let lead = Lead {
         token: Token(token),
         first: Token(token),
@@ -93,7 +98,7 @@
         day_ms: 1_700_000_000_000,
         ..Inheritance::default()
     };
-    Core::take_over(policy(), lead, now, found).expect("all pages can be read")
+    Core::take_over(policy(next), lead, now, found).expect("all pages can be read")
 }
 
 /// Machines on any page, and how often each is listed.
@@ -108,23 +113,31 @@
     pages.iter().map(|i| i.data.to_string().len()).collect()
 }
 
-/// Lets the core write for so long; checks each transaction against the limits, and after each that every
-/// machine is listed.
-fn write_for(core: &mut Core, store: &mut Store, now: &mut Millis, span: Millis) {
+/// Whether the state service takes a transaction under its new limits.
+fn taken(txn: &Txn) -> bool {
+    let large = |change: &Change| match change {
+        Change::Put { data, .. } => data.to_string().len() > VALUE_BYTES,
+        Change::Delete { .. } => false,
+    };
+    txn.apply.len() <= TXN_OPS && !txn.apply.iter().any(large)
+}
+
+/// Lets the core write for so long; after each transaction every machine must be listed. Says how many
+/// transactions the service has refused for their size.
+fn write_for(core: &mut Core, store: &mut Store, now: &mut Millis, span: Millis) -> usize {
     let all: BTreeSet<HostId> = (0..MACHINES).map(host).collect();
     let end = *now + span;
+    let mut rejected = 0;
     while *now < end {
         *now = *now + Millis(100);
         for effect in core.step(*now) {
             let Effect::Write { seq, txn } = effect else {
                 continue;
             };
-            assert!(txn.apply.len() <= TXN_OPS, "{} operations", txn.apply.len());
-            for change in &txn.apply {
-                if let Change::Put { put, data, .. } = change {
-                    let bytes = data.to_string().len();
-                    assert!(bytes <= VALUE_BYTES, "{put}: {bytes} bytes");
-                }
+            if !taken(&txn) {
+                rejected += 1;
+                core.on(*now, Event::WriteRejected { seq });
+                continue;
             }
             let epoch = store.apply(&txn).expect("nobody else writes");
             core.on(*now, Event::Written { seq, epoch });
@@ -132,6 +145,7 @@
             assert_eq!(on_some_page, all, "a machine is on no page");
         }
     }
+    rejected
 }
 
 #[test]
@@ -139,8 +153,12 @@
     let mut store = large_pages();
     assert!(sizes(&store).iter().any(|bytes| *bytes > VALUE_BYTES));
     let mut now = Millis(1_000);
-    let mut core = take_over(&store, now, 5);
-    write_for(&mut core, &mut store, &mut now, Millis(60_000));
+    let mut core = take_over(&store, now, 5, ANNOUNCED);
+    let rejected = write_for(&mut core, &mut store, &mut now, Millis(60_000));
+    assert_eq!(
+        rejected, 0,
+        "what is announced is kept to from the first write"
+    );
     assert!(sizes(&store).iter().all(|bytes| *bytes <= VALUE_BYTES));
     assert_eq!(listed(&store).len(), MACHINES as usize, "each once");
 }
@@ -152,13 +170,51 @@
         let mut store = large_pages();
         let mut now = Millis(1_000);
         for token in 5..9 {
-            let mut core = take_over(&store, now, token);
+            let mut core = take_over(&store, now, token, ANNOUNCED);
             assert_eq!(core.machines_up(), MACHINES as usize);
-            write_for(&mut core, &mut store, &mut now, Millis(stage_ms));
+            let rejected = write_for(&mut core, &mut store, &mut now, Millis(stage_ms));
+            assert_eq!(rejected, 0);
         }
-        let mut core = take_over(&store, now, 9);
+        let mut core = take_over(&store, now, 9, ANNOUNCED);
         write_for(&mut core, &mut store, &mut now, Millis(90_000));
         assert!(sizes(&store).iter().all(|bytes| *bytes <= VALUE_BYTES));
         assert_eq!(listed(&store).len(), MACHINES as usize, "stage {stage_ms}");
     }
 }
+
+/// Nobody said that the limits would be lowered: what is refused is not sent again unchanged, and the
+/// leader finds what the service takes.
+#[test]
+fn limits_lowered_without_notice_are_found() {
+    let mut store = large_pages();
+    let mut now = Millis(1_000);
+    let mut core = take_over(&store, now, 5, "");
+    // Jobs enough for transactions of many operations.
+    for n in 0..40 {
+        let body = serde_json::json!({"ref": format!("wk-{n}"), "jobclass": "c", "crew": "blue",
+            "shape": "array", "urgency": "normal", "pieces": 40, "cpus": 1, "gpus": 0, "ramGb": 1,
+            "bundle": "i", "pullGb": 1, "together": false, "scatter": false, "loaners": false,
+            "guessS": 50, "markEveryS": 0, "markCostS": 0});
+        let spec = parse_submission(body.to_string().as_bytes())
+            .expect("a job")
+            .spec;
+        let record = OpenRecord {
+            spec,
+            at_ms: 0,
+            after: vec![JobId::from("wk-900")],
+            edge_pages: 0,
+        };
+        let opened = Event::JobOpened {
+            record: Box::new(record),
+            stamp: Stamp(0),
+            submitted: now,
+        };
+        core.on(now, opened);
+    }
+    // All of them are to be cancelled with the one that they need.
+    let marks = vec![(JobId::from("wk-900"), Some(FinalRecord::cancelled(1)))];
+    core.on(now, Event::MarksRead { marks });
+    let rejected = write_for(&mut core, &mut store, &mut now, Millis(120_000));
+    assert!((1..=12).contains(&rejected), "{rejected} refused");
+    assert_eq!(store.list(FINAL).len(), 40, "all marks are written");
+}
