--- a/src/coordination/writer.rs
+++ b/src/coordination/writer.rs
@@ -4,21 +4,25 @@
 //! can do nothing. After an unclear outcome the keys are read again before anything else is
 //! written.
 
+mod draft;
+mod ends;
+mod launches;
 mod limits;
+mod machine_pages;
 mod outcomes;
+mod sweeping;
 
 use super::{Core, Effect};
-use crate::ids::{HostId, Image, JobId, MachineType, Millis, PageNo, Stamp, Token, Zone};
+use crate::ids::{HostId, JobId, Millis, PageNo, Stamp, Token};
 use crate::protocol::state::{Change, Guard, Txn};
-use crate::protocol::users::JobPhase;
 use crate::settings::StateLimits;
-use crate::storage::ledger::{DirectCarrier, Job, Machine, MachineState, Start};
-use crate::storage::pages::{HostPages, IntentPages, Measure, StartKey};
+use crate::storage::ledger::{DirectCarrier, Job, Machine, Start};
+use crate::storage::pages::{HostPages, IntentPages, StartKey};
 use crate::storage::records::{
-    edge_list_key, edge_page_key, final_key, hosts_key, intents_key, open_key, progress_key,
-    FinalRecord, HostNote, HostsPage, IntentsPage, JobTakes, LeadRecord, CHUNK, HINTS, LEAD, TOKEN,
+    edge_list_key, edge_page_key, open_key, progress_key, LeadRecord, CHUNK, HINTS, LEAD, TOKEN,
 };
 use crate::transport::budget::Budget;
+use draft::{Draft, FINISH_OPS};
 use limits::WriteLimits;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -104,10 +108,6 @@
 const WRITE_EVERY: Millis = Millis(100);
 /// Progress is written this often: until then a tombstone keeps it, or else the task's result.
 const PROGRESS_EVERY: Millis = Millis(2_000);
-/// A stale record waits this long for a write that is needed anyway.
-const STALE: Millis = Millis(4_000);
-/// Hints about machines wait longer.
-const STALE_HOSTS: Millis = Millis(15_000);
 /// Our token is raised this often while tombstones wait for it, and at once when one machine has so
 /// many.
 const RAISE_EVERY: Millis = Millis(60_000);
@@ -117,8 +117,6 @@
 const REFUSED: Millis = Millis(300);
 /// An answer this late is taken for none, should the runtime have lost it.
 const LOST: Millis = Millis(8_000);
-/// Images named for each machine: the most that fits.
-const HOST_IMAGES: [usize; 4] = [16, 10, 6, 3];
 
 impl Writer {
     /// A writer that keeps within its part of the write rate.
@@ -168,80 +166,6 @@
     }
 }
 
-/// A transaction being put together within the service's limits.
-struct Draft {
-    guards: BTreeMap<String, Stamp>,
-    apply: Vec<Change>,
-    works: Vec<Work>,
-    most_ops: usize,
-    bytes: usize,
-}
-
-impl Draft {
-    /// Whether so many more guards still fit.
-    fn guards_fit(&self, more: usize) -> bool {
-        self.guards.len() + more <= self.most_ops * 4
-    }
-
-    /// The starts and the pages of intents that are drafted already.
-    fn launches(&self) -> impl Iterator<Item = &StartKey> {
-        self.works.iter().flat_map(|w| match w {
-            Work::Intents { keys, .. } => keys.as_slice(),
-            _ => &[],
-        })
-    }
-    fn intent_pages(&self) -> impl Iterator<Item = PageNo> + '_ {
-        self.works.iter().filter_map(|w| match w {
-            Work::Intents { page, .. } | Work::DropIntents { page } => Some(*page),
-            _ => None,
-        })
-    }
-
-    /// Adds work if it still fits; false if not.
-    fn add(&mut self, guards: Vec<(String, Stamp)>, apply: Vec<Change>, work: Work) -> bool {
-        let size: usize = apply
-            .iter()
-            .map(|c| serde_json::to_string(c).map_or(usize::MAX / 4, |s| s.len()))
-            .sum::<usize>()
-            + guards.len() * 100;
-        let new = guards
-            .iter()
-            .filter(|(k, _)| !self.guards.contains_key(k))
-            .count();
-        let fits = self.apply.len() + apply.len() <= self.most_ops
-            && self.guards.len() + new <= self.most_ops * 4
-            && self.bytes + size <= MAX_TXN_BYTES;
-        if !fits {
-            return false;
-        }
-        self.bytes += size;
-        self.guards.extend(guards);
-        self.apply.extend(apply);
-        self.works.push(work);
-        true
-    }
-
-    /// Adds the end of an open job, whose record then gives way to the mark; false if it doesn't fit.
-    fn close(&mut self, id: &JobId, stamp: Stamp, mark: &FinalRecord, work: Work) -> bool {
-        let Ok(data) = serde_json::to_value(mark) else {
-            return true;
-        };
-        let guards = vec![(open_key(id), stamp), (final_key(id), Stamp(0))];
-        let apply = vec![
-            Change::Delete {
-                delete: open_key(id),
-            },
-            Change::put(final_key(id), data),
-        ];
-        self.add(guards, apply, work)
-    }
-}
-
-/// Operations that finish or cancel one job.
-const FINISH_OPS: usize = 2;
-/// The service takes 64 KiB in one transaction.
-const MAX_TXN_BYTES: usize = 56 * 1024;
-
 impl Core {
     /// Starts the next transaction if none is under way and there is something to write.
     pub(crate) fn write(&mut self, now: Millis) {
@@ -350,101 +274,6 @@
         draft.add(guards, apply, Work::Raise { token });
     }
 
-    fn draft_hosts(&self, now: Millis, lazy: bool, draft: &mut Draft) {
-        for page in self.writer.hosts.due(now, STALE_HOSTS, lazy) {
-            let (hosts, stamp) = self.writer.hosts.page(page);
-            let key = hosts_key(page);
-            let data = self.hosts_page(&hosts);
-            let apply = vec![Change::put(key.clone(), data)];
-            if !draft.add(vec![(key, stamp)], apply, Work::Hosts { page, hosts }) {
-                return;
-            }
-        }
-    }
-
-    /// A page of machines as it is written: with hints about images, if they fit.
-    fn hosts_page(&self, hosts: &BTreeSet<HostId>) -> serde_json::Value {
-        let most = self.writer.limits.value_bytes;
-        for images in HOST_IMAGES {
-            let page = self.hosts_page_with(hosts, images);
-            if page.to_string().len() <= most {
-                return page;
-            }
-        }
-        self.hosts_page_with(hosts, 0)
-    }
-
-    fn hosts_page_with(&self, hosts: &BTreeSet<HostId>, most_images: usize) -> serde_json::Value {
-        let mut page = HostsPage::default();
-        let mut kinds: BTreeMap<(MachineType, Zone, bool), usize> = BTreeMap::new();
-        let mut images: BTreeMap<Image, usize> = BTreeMap::new();
-        for m in hosts.iter().filter_map(|h| self.machines.get(h)) {
-            let kind = (m.rig.clone(), m.site.clone(), m.spot);
-            let kind = *kinds.entry(kind.clone()).or_insert_with(|| {
-                page.kinds.push(kind);
-                page.kinds.len() - 1
-            });
-            let held = m.images.iter().rev().take(most_images).rev();
-            let held = held
-                .map(|(image, gb)| {
-                    *images.entry(image.clone()).or_insert_with(|| {
-                        page.images.push((image.clone(), *gb));
-                        page.images.len() - 1
-                    })
-                })
-                .collect();
-            let rented_s = self.day_ms.saturating_add_signed(m.since.0) / 1000;
-            let up = m.state != MachineState::Booting;
-            page.hosts
-                .insert(m.id.clone(), HostNote(kind, rented_s, up, held));
-        }
-        serde_json::to_value(&page).unwrap_or_default()
-    }
-
-    fn draft_finishes(&self, now: Millis, draft: &mut Draft) {
-        for (id, job) in self.jobs_in(&self.indexes.complete) {
-            if !self.graph.has_consumers(id) && !self.draft_finish(now, id, job, draft) {
-                return;
-            }
-        }
-    }
-
-    /// Finishes of jobs that others wait for, in at most half of a transaction: a burst of them must not
-    /// hold up launches.
-    fn draft_finishes_of_producers(&self, now: Millis, draft: &mut Draft) {
-        let most = (draft.most_ops / 2).max(FINISH_OPS);
-        for (id, job) in self.jobs_in(&self.indexes.complete) {
-            if draft.apply.len() + FINISH_OPS > most {
-                return;
-            }
-            if self.graph.has_consumers(id) && !self.draft_finish(now, id, job, draft) {
-                return;
-            }
-        }
-    }
-
-    fn draft_finish(&self, now: Millis, id: &JobId, job: &Job, draft: &mut Draft) -> bool {
-        let mark = FinalRecord {
-            phase: JobPhase::Done,
-            pieces: job.spec.pieces,
-            at_ms: self
-                .graph
-                .has_consumers(id)
-                .then(|| self.day_ms.saturating_add_signed(now.0)),
-        };
-        draft.close(id, job.stamp, &mark, Work::Finish { job: id.clone() })
-    }
-
-    /// Jobs that need a cancelled one, directly or through others.
-    fn draft_cancellations(&self, draft: &mut Draft) {
-        for (id, job) in self.jobs_in(&self.indexes.ancestor_cancelled) {
-            let mark = FinalRecord::cancelled(job.spec.pieces);
-            if !draft.close(id, job.stamp, &mark, Work::Cancel { job: id.clone() }) {
-                return;
-            }
-        }
-    }
-
     fn jobs_in<'a>(
         &'a self,
         ids: &'a BTreeSet<JobId>,
@@ -452,128 +281,6 @@
         ids.iter().filter_map(|id| Some((id, self.jobs.get(id)?)))
     }
 
-    /// Whether a start is planned and not yet written.
-    fn unwritten(&self, key: &StartKey) -> bool {
-        let m = self.machines.get(&key.host);
-        let start = m.and_then(|m| m.starts.get(&(key.piece.clone(), key.attempt)));
-        start.is_some_and(|s| s.page.is_none() && s.untouched())
-    }
-
-    /// Starts that wait for their intent, in the order in which they were planned, packed into pages;
-    /// `spare` operations are left to others.
-    fn draft_launches(&mut self, draft: &mut Draft, spare: usize) {
-        let mut intents = std::mem::take(&mut self.writer.intents);
-        intents.drop_settled(|k| self.unwritten(k));
-        self.pack_launches(&intents, draft, spare);
-        self.writer.intents = intents;
-    }
-
-    fn pack_launches(&self, intents: &IntentPages, draft: &mut Draft, spare: usize) {
-        let most_bytes = self.writer.limits.value_bytes;
-        let drafted: BTreeSet<StartKey> = draft.launches().cloned().collect();
-        let mut waiting = intents
-            .waiting()
-            .filter(|k| !drafted.contains(*k) && self.unwritten(k))
-            .peekable();
-        let mut taken: BTreeSet<PageNo> = draft.intent_pages().collect();
-        while waiting.peek().is_some() && draft.apply.len() + spare < draft.most_ops {
-            let mut page = intents.emptiest(&taken);
-            let (mut keys, mut stamp) = page.map_or((Vec::new(), Stamp(0)), |p| intents.page(p));
-            let mut size = self.measure(&keys);
-            if size.bytes() > most_bytes / 2 {
-                // Most of it still stands: a new page costs no more.
-                page = None;
-                (keys, stamp) = (Vec::new(), Stamp(0));
-                size = Measure::default();
-            }
-            let page = page.unwrap_or_else(|| intents.fresh(&taken));
-            taken.insert(page);
-            let mut guards = vec![(intents_key(page), stamp)];
-            let mut jobs: BTreeSet<JobId> = BTreeSet::new();
-            let before = keys.len();
-            while let Some(k) = waiting.peek() {
-                let id = &k.piece.job;
-                let noted = self.machines.get(&k.host).is_some_and(|m| m.noted);
-                let Some(job) = self.jobs.get(id).filter(|j| !j.over && noted) else {
-                    // Its machine's page comes first; its job is over: it is dropped elsewhere.
-                    waiting.next();
-                    continue;
-                };
-                if !jobs.contains(id) {
-                    if !draft.guards_fit(guards.len() + 1) {
-                        break;
-                    }
-                    // The open record's version is the guard: a job that its user cancelled
-                    // meanwhile can't be launched.
-                    guards.push((open_key(id), job.stamp));
-                    jobs.insert(id.clone());
-                }
-                size.add(k, &job.spec.team);
-                if size.bytes() > most_bytes {
-                    break;
-                }
-                keys.push((*k).clone());
-                waiting.next();
-            }
-            if keys.len() == before {
-                return;
-            }
-            let data = self.intents_page(&keys);
-            let apply = vec![Change::put(intents_key(page), data)];
-            if !draft.add(guards, apply, Work::Intents { page, keys }) {
-                return;
-            }
-        }
-    }
-
-    fn measure(&self, keys: &[StartKey]) -> Measure {
-        let mut size = Measure::default();
-        for k in keys {
-            let team = self.jobs.get(&k.piece.job).map(|j| j.spec.team.as_str());
-            size.add(k, team.unwrap_or_default());
-        }
-        size
-    }
-
-    fn intents_page(&self, keys: &[StartKey]) -> serde_json::Value {
-        let mut page = IntentsPage::default();
-        for k in keys {
-            page.add(&k.host, &k.piece, k.attempt);
-            if let Some(since) = self.placed_at(k) {
-                let placed_s = self.day_ms.saturating_add_signed(since.0) / 1000;
-                page.placed_s.entry(k.attempt).or_insert(placed_s);
-            }
-            if !page.jobs.contains_key(&k.piece.job) {
-                page.jobs.insert(k.piece.job.clone(), self.takes(k));
-            }
-        }
-        serde_json::to_value(&page).unwrap_or_default()
-    }
-
-    /// When a start that is on a page was placed.
-    fn placed_at(&self, key: &StartKey) -> Option<Millis> {
-        let machine = self.machines.get(&key.host)?;
-        let start = machine.starts.get(&(key.piece.clone(), key.attempt))?;
-        Some(start.since)
-    }
-
-    /// What a start's job takes: from the job, or, if that is over and forgotten, from the start.
-    fn takes(&self, k: &StartKey) -> JobTakes {
-        if let Some(j) = self.jobs.get(&k.piece.job) {
-            return JobTakes::of(&j.spec);
-        }
-        let m = self.machines.get(&k.host);
-        let s = m.and_then(|m| m.starts.get(&(k.piece.clone(), k.attempt)));
-        let team = self.policy.team(s.and_then(|s| s.team));
-        let need = s.map(|s| s.need).unwrap_or_default();
-        JobTakes(
-            team.map(|t| t.name.clone()).unwrap_or_default(),
-            need.cpus,
-            need.gpus,
-            need.ram_gb,
-        )
-    }
-
     fn draft_progress(&self, now: Millis, draft: &mut Draft) {
         if now - self.writer.progress_at < PROGRESS_EVERY {
             return;
@@ -613,43 +320,6 @@
         }
     }
 
-    /// Records that say more than is true: harmless, so they wait for a quiet moment.
-    fn draft_sweeping(&self, now: Millis, draft: &mut Draft) {
-        for (key, stamp) in &self.writer.orphaned_progress {
-            let apply = vec![Change::Delete {
-                delete: key.clone(),
-            }];
-            let work = Work::DropProgress { key: key.clone() };
-            if !draft.add(vec![(key.clone(), *stamp)], apply, work) {
-                return;
-            }
-        }
-        // Without a guard of their own: where there is a finish mark nobody writes them again.
-        for key in &self.writer.orphaned_edges {
-            let apply = vec![Change::Delete {
-                delete: key.clone(),
-            }];
-            let work = Work::DropEdges { key: key.clone() };
-            if !draft.add(Vec::new(), apply, work) {
-                return;
-            }
-        }
-        let taken: BTreeSet<PageNo> = draft.intent_pages().collect();
-        for page in self.writer.intents.stale(now, STALE) {
-            let (keys, stamp) = self.writer.intents.page(page);
-            if taken.contains(&page) || !keys.is_empty() {
-                continue;
-            }
-            let key = intents_key(page);
-            let apply = vec![Change::Delete {
-                delete: key.clone(),
-            }];
-            if !draft.add(vec![(key, stamp)], apply, Work::DropIntents { page }) {
-                return;
-            }
-        }
-    }
-
     fn draft_hints(&self, now: Millis, draft: &mut Draft) {
         let due = self.writer.hints_news && now - self.writer.hints_at > HINTS_EVERY;
         if let (true, Ok(data)) = (due, serde_json::to_value(self.hints(now))) {
--- a/src/coordination/writer/limits.rs
+++ b/src/coordination/writer/limits.rs
@@ -2,7 +2,8 @@
 //! its size all the same, less is tried.
 
 use super::super::Core;
-use super::{Flight, FINISH_OPS, REFUSED};
+use super::draft::FINISH_OPS;
+use super::{Flight, REFUSED};
 use crate::ids::Millis;
 use crate::protocol::state::{Change, Txn};
 use crate::settings::StateLimits;
