--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -238,7 +238,10 @@
         finished, ending_jobs,
         "each job that is done is finished once"
     );
-    assert!(changes <= ending_jobs * 2 + 100, "{changes} changes");
+    // Each page of machines may be written once; the rest, as it was for 2,000 machines, is room for 47.
+    let pages = MACHINES.div_ceil(MACHINES_A_PAGE) as usize;
+    let most = ending_jobs * 2 + pages + 47;
+    assert!(changes <= most, "{changes} changes");
     let cleared = match core.check_in(now, &report(3, 3, 9, GPUS as usize)) {
         CheckInAnswer::Orders(o) => o
             .iter()
@@ -397,7 +400,7 @@
         for effect in core.step(now) {
             match effect {
                 Effect::ReadMarks { ids } => {
-                    assert_eq!(ids, [producer.clone()]);
+                    assert_eq!(ids, std::slice::from_ref(&producer));
                     reads += 1;
                     let marks = vec![(producer.clone(), Some(mark.clone()))];
                     core.on(now, Event::MarksRead { marks });
