--- /dev/null
+++ b/src/coordination/fleet/rentals.rs
@@ -0,0 +1,204 @@
+//! Renting machines: what, how many, and what became of each request.
+
+use super::super::placement::Unmet;
+use super::super::{Core, Effect};
+use super::{Hire, Kind, CALLS, LOOK_A_MACHINE, LOOK_EVERY, LOOK_S, STILL_SILENT};
+use crate::ids::{HostId, Millis, Zone};
+use crate::protocol::users::JobSpec;
+use crate::storage::ledger::{Amount, MachineState};
+use std::collections::BTreeMap;
+
+/// The most one rental may ask for, by the protocol.
+const MOST_PER_HIRE: u32 = 50;
+/// Waits after a refusal.
+const REFUSED: (Millis, Millis) = (Millis(8_000), Millis(40_000));
+/// An unclear rental is asked again after this, and given up after that: its machines, if any,
+/// show up in the list and in their workers' reports.
+const HIRE_AGAIN: Millis = Millis(1_500);
+const HIRE_GIVEN_UP: Millis = Millis(90_000);
+
+impl Core {
+    pub(super) fn repeat_hires(&mut self, now: Millis) {
+        self.fleet
+            .hires
+            .retain(|_, h| now - h.asked < HIRE_GIVEN_UP);
+        let due: Vec<String> = self
+            .fleet
+            .hires
+            .iter()
+            .filter(|(_, h)| h.again_at.is_some_and(|t| t <= now))
+            .map(|(n, _)| n.clone())
+            .collect();
+        for name in due {
+            if !self.fleet.calls.take(now, 1.0) {
+                return;
+            }
+            if let Some(h) = self.fleet.hires.get_mut(&name) {
+                h.again_at = None;
+                let (rig, site, spot) = h.kind.clone();
+                self.effects.push(Effect::Rent {
+                    hire: name,
+                    rig,
+                    site,
+                    spot,
+                    count: h.count,
+                });
+            }
+        }
+    }
+
+    /// Rents what makes waiting tasks start sooner, as the forecast says.
+    pub(super) fn rent(&mut self, now: Millis, unmet: &[Unmet]) {
+        let pause = LOOK_EVERY + Millis(LOOK_A_MACHINE * self.machines.len() as i64);
+        if now - self.fleet.looked < pause || self.awaits_reports(now) {
+            return;
+        }
+        self.fleet.looked = now;
+        let calls = (self.policy.facts.cloud.rps * CALLS * LOOK_S).max(1.0);
+        let seen = self.look_ahead(now, unmet, calls as usize * MOST_PER_HIRE as usize);
+        tracing::debug!(
+            unmet = unmet.len(),
+            tasks = unmet.iter().map(|u| u.count).sum::<u32>(),
+            new = seen.rent.values().sum::<u32>(),
+            spare = seen.spare.len(),
+            "forecast"
+        );
+        self.fleet.spare = seen.spare;
+        for (kind, mut count) in seen.rent {
+            while count > 0 && self.fleet.calls.take(now, 1.0) {
+                let part = count.min(MOST_PER_HIRE);
+                self.hire(now, kind.clone(), part);
+                count -= part;
+            }
+        }
+    }
+
+    /// Whether a new leader still waits for the first reports of most of its machines.
+    ///
+    /// Guards against rentals for which there is no use a moment later: each change of leaders rented up to
+    /// 180 machines on the recorded day a974. Until a machine has reported it can't be given work, and what
+    /// ended on it while nobody led still seems to be there.
+    pub(super) fn awaits_reports(&self, now: Millis) -> bool {
+        if now - self.began > self.policy.first_reports() {
+            return false;
+        }
+        let up = self
+            .machines
+            .values()
+            .filter(|m| m.state == MachineState::Up);
+        let (silent, all) = up.fold((0, 0), |(silent, all), m| {
+            (silent + usize::from(m.reported.is_none()), all + 1)
+        });
+        silent as f64 > all as f64 * STILL_SILENT
+    }
+
+    pub(super) fn hire(&mut self, now: Millis, kind: Kind, count: u32) {
+        // Unique for ever: tokens are, and so is the count within one.
+        self.fleet.hired += 1;
+        let name = format!("r-{}-{}", self.lead.first, self.fleet.hired);
+        tracing::debug!(hire = %name, rig = %kind.0, site = %kind.1, spot = kind.2, count, "renting");
+        let (rig, site, spot) = kind.clone();
+        self.fleet.hires.insert(
+            name.clone(),
+            Hire {
+                kind,
+                count,
+                asked: now,
+                again_at: None,
+            },
+        );
+        self.effects.push(Effect::Rent {
+            hire: name,
+            rig,
+            site,
+            spot,
+            count,
+        });
+    }
+
+    pub(crate) fn kind_allowed(spec: &JobSpec, kind: &Kind) -> bool {
+        (spec.spot || !kind.2)
+            && spec.site.as_ref().is_none_or(|s| *s == kind.1)
+            && spec.rigs.as_ref().is_none_or(|r| r.contains(&kind.0))
+    }
+
+    /// The cheapest kind for `left` tasks of the job, among those not refused lately; among equals
+    /// the zone with least machines.
+    pub(crate) fn choose_kind(
+        &self,
+        now: Millis,
+        spec: &JobSpec,
+        left: u32,
+        zones: &BTreeMap<Zone, usize>,
+    ) -> Option<Kind> {
+        let need = Amount::of(spec);
+        let mut best: Option<((f64, usize), Kind)> = None;
+        for rig in self.rigs.values() {
+            let n = need.count_in(&self.capacity(&rig.name), left);
+            if n == 0 {
+                continue;
+            }
+            for site in &rig.sites {
+                for spot in [true, false] {
+                    let kind = (rig.name.clone(), site.clone(), spot);
+                    let refused = self.fleet.refused.get(&kind);
+                    if !Self::kind_allowed(spec, &kind) || refused.is_some_and(|r| r.0 > now) {
+                        continue;
+                    }
+                    let price = if spot { rig.spot_price } else { rig.price };
+                    let here = zones.get(site).copied().unwrap_or(0);
+                    let rank = (price / f64::from(n), here);
+                    if best.as_ref().is_none_or(|(b, _)| rank < *b) {
+                        best = Some((rank, kind));
+                    }
+                }
+            }
+        }
+        best.map(|(_, k)| k)
+    }
+
+    /// Whether a machine for the job is coming or may yet be rented.
+    pub(crate) fn may_rent(&self, now: Millis, spec: &JobSpec) -> bool {
+        let need = Amount::of(spec);
+        let serves =
+            |kind: &Kind| Self::kind_allowed(spec, kind) && need.fits(&self.capacity(&kind.0));
+        self.choose_kind(now, spec, 1, &BTreeMap::new()).is_some()
+            || self.fleet.hires.values().any(|h| serves(&h.kind))
+            || self.machines.values().any(|m| {
+                m.state == MachineState::Booting && serves(&(m.rig.clone(), m.site.clone(), m.spot))
+            })
+    }
+
+    pub(crate) fn rented(&mut self, now: Millis, hire: &str, hosts: Option<Vec<HostId>>) {
+        let Some(h) = self.fleet.hires.remove(hire) else {
+            return;
+        };
+        let got = hosts.as_ref().map_or(0, Vec::len) as u32;
+        if got < h.count {
+            let wait = self
+                .fleet
+                .refused
+                .get(&h.kind)
+                .map_or(REFUSED.0, |r| Millis(r.1 .0 * 2).min(REFUSED.1));
+            tracing::debug!(hire, got, asked = h.count, "refused for want of capacity");
+            self.fleet
+                .refused
+                .insert(h.kind.clone(), (now + wait, wait));
+        } else {
+            self.fleet.refused.remove(&h.kind);
+        }
+        let (rig, site, spot) = h.kind;
+        for id in hosts.into_iter().flatten() {
+            if !self.gone.contains(&id) {
+                self.enter_machine(now, &id, &rig, &site, spot, h.asked, true);
+            }
+        }
+        self.dirty = true;
+    }
+
+    pub(crate) fn rent_unclear(&mut self, now: Millis, hire: &str) {
+        if let Some(h) = self.fleet.hires.get_mut(hire) {
+            h.again_at = Some(now + HIRE_AGAIN);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/fleet/returns.rs
@@ -0,0 +1,151 @@
+//! Returning machines: those given up, and those that are idle for too long.
+
+use super::super::{Core, Effect};
+use super::DRAIN_PATIENCE;
+use crate::ids::{HostId, Millis, Zone};
+use crate::storage::ledger::MachineState;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The most names in one return, by the protocol.
+const MOST_PER_RETURN: usize = 100;
+/// A booting machine is given up after this many boot times (plus a fixed time, for types that boot
+/// in a moment).
+const DEAD_BOOTS: f64 = 4.0;
+const DEAD_PLUS_S: f64 = 20.0;
+/// An idle machine is kept for so many times what it would take to have it again, if the forecast has
+/// no use for it and if it has.
+const SPARE: f64 = 0.6;
+const WANTED: f64 = 3.0;
+/// The same when nothing waits and nothing is to be expected.
+const NO_USE: f64 = 0.1;
+
+impl Core {
+    /// Silent machines that are returned rather than waited for.
+    ///
+    /// Guards against giving a whole zone away when it is the network that is silent: on a day with
+    /// a cut of 20 s between two zones every machine beyond it was returned, one by one as each
+    /// crossed the bound, though their leases would have outlasted it. So what counts is how many
+    /// of a zone have fallen quiet by now, not how many have been silent for long enough.
+    ///
+    /// When a cut ends, machines report one after the other: the zone stays suspected for as long as
+    /// the last of them may take.
+    pub(super) fn given_up(&mut self, now: Millis) -> BTreeSet<HostId> {
+        let silence = self.policy.silence();
+        if now - self.began <= silence {
+            return BTreeSet::new();
+        }
+        let quiet = Millis::from_secs(self.policy.facts.workers.report_s * 2.0);
+        let mut zones: BTreeMap<Zone, (f64, f64)> = BTreeMap::new();
+        for m in self.machines.values() {
+            let lost =
+                m.state == MachineState::Returning && m.heard.is_none_or(|h| now - h > quiet);
+            if m.state == MachineState::Up || lost {
+                let z = zones.entry(m.site.clone()).or_default();
+                z.0 += 1.0;
+                z.1 += f64::from(u8::from(lost || m.silent(now, quiet)));
+            }
+        }
+        let share = self.policy.operator.give_up_share;
+        for (site, (up, lost)) in zones {
+            if lost > (up * share).max(2.0) {
+                self.fleet.suspected.insert(site, now + quiet);
+            }
+        }
+        self.fleet.suspected.retain(|_, until| now < *until);
+        self.machines
+            .values()
+            .filter(|m| m.silent(now, silence))
+            .filter(|m| !self.fleet.suspected.contains_key(&m.site))
+            .map(|m| m.id.clone())
+            .collect()
+    }
+
+    /// Whether any job waits that idle machines may be kept for.
+    ///
+    /// Guards against idle machines that are kept for jobs submitted with a mistake: on the recorded day
+    /// a974 some 120 of them stayed for 100 s after the last arrival, until two such jobs were cancelled.
+    pub(super) fn work_waits(&self) -> bool {
+        let waiting = self.indexes.waiting.iter();
+        let mut jobs = waiting.filter_map(|id| self.jobs.get(id));
+        jobs.any(|job| !job.mistaken())
+    }
+
+    pub(super) fn return_machines(&mut self, now: Millis) {
+        let mut back: BTreeSet<HostId> = self.given_up(now);
+        let ebbed = !self.work_waits() && self.ebbed(now);
+        for m in self.machines.values() {
+            if m.state == MachineState::Returning {
+                continue;
+            }
+            let busy = m.live > 0;
+            let age = now - m.since;
+            let dead_boot = m.state == MachineState::Booting
+                && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
+            // Idle and spare: returned soon. Otherwise kept for as long as it may be of use.
+            let spare = self.fleet.spare.contains(&m.id);
+            let keep_s = self.renewal_s(m)
+                * self.policy.operator.idle_boots
+                * match (spare, ebbed) {
+                    (_, true) => NO_USE,
+                    (true, _) => SPARE,
+                    (false, _) => WANTED,
+                };
+            let idle = m.state == MachineState::Up
+                && !self.reserved.contains_key(&m.id)
+                && m.idle_since.is_some_and(|t| (now - t).secs() > keep_s);
+            let stuck = m.drain_since.is_some_and(|t| now - t > DRAIN_PATIENCE);
+            if dead_boot || m.list_failed || (idle && !busy) || (m.drain && (!busy || stuck)) {
+                back.insert(m.id.clone());
+            }
+        }
+        let again: Vec<HostId> = self
+            .machines
+            .values()
+            .filter(|m| m.state == MachineState::Returning && m.direct_after <= now)
+            .map(|m| m.id.clone())
+            .collect();
+        back.extend(again);
+        if back.is_empty() || now < self.fleet.return_after || !self.fleet.calls.take(now, 1.0) {
+            return;
+        }
+        let hosts: Vec<HostId> = back.into_iter().take(MOST_PER_RETURN).collect();
+        for h in &hosts {
+            if let Some(m) = self.machines.get_mut(h) {
+                tracing::debug!(host = %h, drain = m.drain, failed = m.list_failed, heard = ?m.heard, "returning");
+                m.state = MachineState::Returning;
+                self.indexes.spacious.remove(h);
+                self.indexes.cpus_left.remove(h);
+                // Not asked again while the answer is awaited.
+                m.direct_after = now + Millis(10_000);
+            }
+        }
+        self.effects.push(Effect::Return { hosts });
+    }
+
+    pub(crate) fn returned(&mut self, now: Millis, hosts: &[HostId]) {
+        for h in hosts {
+            // Proof 4: the cloud's 200 to returning the machine.
+            self.empty_machine(now, h);
+            self.gone.insert(h.clone());
+            if let Some(m) = self.machines.remove(h) {
+                if m.direct_seq.is_some() {
+                    self.directs = self.directs.saturating_sub(1);
+                }
+                if let Some(page) = m.page {
+                    self.writer.hosts.leave(now, page, h);
+                }
+            }
+            self.index_machine(h);
+        }
+        self.dirty = true;
+    }
+
+    pub(crate) fn return_failed(&mut self, now: Millis, hosts: &[HostId]) {
+        self.fleet.return_after = now + Millis(1_000);
+        for h in hosts {
+            if let Some(m) = self.machines.get_mut(h) {
+                m.direct_after = now + Millis(2_000);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/placement/queue.rs
@@ -0,0 +1,136 @@
+//! The order in which waiting jobs are placed.
+
+use super::super::Core;
+use crate::ids::{JobId, Millis, TeamNo};
+use crate::protocol::users::{JobSpec, Urgency};
+use crate::storage::ledger::{within, Amount, Job};
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+
+impl Core {
+    /// Jobs that fit into their team's guarantee together with the team's earlier unfinished ones.
+    pub(crate) fn guaranteed(&self) -> BTreeSet<JobId> {
+        let mut inside = BTreeSet::new();
+        for (n, jobs) in self.indexes.by_team.iter().enumerate() {
+            let Some(team) = self.policy.team(Some(TeamNo(n))) else {
+                continue;
+            };
+            let any = team.cpus > 0.0 || team.gpus > 0.0;
+            let mut sum = Amount::default();
+            for (_, id) in jobs {
+                let Some(j) = self.jobs.get(id) else { continue };
+                sum.add(&j.left());
+                if any && within(sum.cpus, team.cpus) && within(sum.gpus, team.gpus) {
+                    inside.insert(id.clone());
+                }
+            }
+        }
+        inside
+    }
+
+    /// Which of its aims the job can still meet: the sooner ones come first, and one that can't be
+    /// met any more gives way to the next. A job past all of them goes last; otherwise, when there is
+    /// too much to do, jobs already late would make every other late as well.
+    pub(super) fn aim_of(&self, id: &JobId, job: &Job, now: Millis) -> u8 {
+        let class = &job.spec.class;
+        let after = |s: f64| job.ready + Millis::from_secs(s);
+        let run = Millis::from_secs(self.longest_of(job));
+        let starts = self.policy.of_class("wait", class);
+        let mut aims: Vec<Millis> = starts.filter_map(|o| o.within_s).map(after).collect();
+        let finishes = self.policy.of_class("finished", class);
+        aims.extend(finishes.filter_map(|o| o.within_s).map(|s| after(s) - run));
+        let has_deadline = job.spec.due_s.is_some() || self.graph.has_consumers(id);
+        if let Some(due) = self.graph.due(id).filter(|_| has_deadline) {
+            aims.extend(self.deadline_aims(job, due).map(|t| t - run));
+        }
+        aims.sort();
+        aims.iter().filter(|t| **t < now).count() as u8
+    }
+
+    /// The deadline that a job has, of its own or for the jobs that need it, and the multiples of the
+    /// time that it allows itself which its class's objectives name.
+    pub(super) fn deadline_aims(&self, job: &Job, due: Millis) -> impl Iterator<Item = Millis> {
+        let (submitted, class) = (job.submitted, &job.spec.class);
+        let mut times = Vec::new();
+        if job.spec.due_s.is_some() {
+            let named = self.policy.of_class("deadline", class);
+            times.extend(named.filter_map(|o| o.times));
+        }
+        if times.is_empty() {
+            times.push(1.0);
+        }
+        let allowed_s = (due - submitted).secs();
+        let aims = times.into_iter();
+        aims.map(move |t| submitted + Millis::from_secs(allowed_s * t))
+    }
+
+    /// The priority that a job is treated with: the highest of its own and of all that need it.
+    pub(crate) fn urgency_of(&self, id: &JobId, spec: &JobSpec) -> Urgency {
+        let derived = self.graph.urgency(id);
+        derived.map_or(spec.urgency, |u| u.max(spec.urgency))
+    }
+
+    /// Whether a task takes most of a machine: large ones are placed first, small ones fill what is
+    /// left.
+    pub(crate) fn bulk(&self, spec: &JobSpec) -> bool {
+        self.part_of_machine(spec) > 0.5
+    }
+
+    pub(super) fn queue(&self, now: Millis) -> Vec<Vec<JobId>> {
+        if self.indexes.waiting.is_empty() {
+            return Vec::new();
+        }
+        let inside = self.guaranteed();
+        let mut queue: Vec<_> = self
+            .indexes
+            .waiting
+            .iter()
+            .filter_map(|id| Some((id, self.jobs.get(id)?)))
+            .filter(|(_, j)| j.not_before <= now)
+            .map(|(id, j)| {
+                let aged = self.aged(j, now);
+                let class = (
+                    // Guards against a job that never begins, whatever ranks it low: oldest first.
+                    !aged,
+                    aged.then_some(j.ready),
+                    self.graph.depth(id),
+                    !inside.contains(id),
+                    Reverse::<Urgency>(self.urgency_of(id, &j.spec)),
+                    self.graph.label(id),
+                    self.aim_of(id, j, now),
+                    !self.bulk(&j.spec),
+                );
+                let rank = (class, Millis::from_secs(self.work_of(j)), j.ready);
+                (rank, id)
+            })
+            .collect();
+        queue.sort();
+        // A task group goes in one round: its members follow its first one at once. Jobs that only
+        // their work and age tell apart are a round of their own.
+        let here: BTreeSet<&JobId> = queue.iter().map(|(_, id)| *id).collect();
+        let mut seen = BTreeSet::new();
+        let mut rounds: Vec<Vec<JobId>> = Vec::new();
+        let mut last = None;
+        for ((class, ..), id) in &queue {
+            if last != Some(class) {
+                rounds.push(Vec::new());
+                last = Some(class);
+            }
+            for member in self.graph.group(id) {
+                if here.contains(&member) && seen.insert(member.clone()) {
+                    rounds.extend(rounds.is_empty().then(Vec::new));
+                    if let Some(round) = rounds.last_mut() {
+                        round.push(member);
+                    }
+                }
+            }
+        }
+        rounds
+    }
+
+    /// The lowest priority among the jobs that may run.
+    pub(crate) fn least_urgent(&self) -> Option<Urgency> {
+        let open = self.jobs.iter().filter(|(_, j)| !j.over && j.released);
+        open.map(|(id, j)| self.urgency_of(id, &j.spec)).min()
+    }
+}
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -3,6 +3,9 @@
 //! A start leaves the ledger only by one of the proofs of docs/SAFETY.md; `remove_start` is the one place
 //! where that happens, and each caller names its proof.
 
+mod places;
+mod task_ends;
+
 use super::{Core, Effect};
 use crate::ids::{Attempt, HostId, JobId, Millis, Session, TaskId};
 use crate::protocol::workers::{Cause, Order, Report, TaskPhase, TaskReport};
@@ -20,8 +23,6 @@
 /// A launch whose direct command was never answered, and which hasn't shown up either, keeps its
 /// place for this long before the whole machine is given up.
 const LOST_LAUNCH_TIMEOUT: Millis = Millis(45_000);
-/// Errors of one job on several machines make it wait, doubling, between these.
-const JOB_BACKOFF: (Millis, Millis) = (Millis(2000), Millis(60_000));
 /// Starts on one machine, tombstones included: keeps its reports well under 64 KiB.
 pub(crate) const MAX_LISTED: usize = 400;
 /// Machines reviewed each second beyond those that something happened to.
@@ -378,197 +379,6 @@
         }
     }
 
-    pub(crate) fn start_mut(
-        &mut self,
-        host: &HostId,
-        key: &(TaskId, Attempt),
-    ) -> Option<&mut Start> {
-        self.machines.get_mut(host)?.starts.get_mut(key)
-    }
-
-    pub(crate) fn add_place(&mut self, host: &HostId, piece: &TaskId) {
-        if let Some(job) = self.jobs.get_mut(&piece.job) {
-            let places = job.places.entry(piece.index).or_default();
-            if !places.contains(host) {
-                places.push(host.clone());
-            }
-            job.pending.remove(&piece.index);
-            self.index_job(&piece.job);
-        }
-    }
-
-    /// The piece no longer is on that machine (ended there, or proven gone).
-    fn drop_place(&mut self, host: &HostId, piece: &TaskId) {
-        // Another try of the same task may be on this machine.
-        let still = self.machines.get(host).is_some_and(|m| {
-            let tries = (piece.clone(), Attempt(0))..=(piece.clone(), Attempt(u64::MAX));
-            m.starts.range(tries).any(|(_, s)| !s.ended())
-        });
-        self.dirty = true;
-        let Some(job) = self.jobs.get_mut(&piece.job) else {
-            return;
-        };
-        if still {
-            return;
-        }
-        if let Some(places) = job.places.get_mut(&piece.index) {
-            places.retain(|h| h != host);
-            if places.is_empty() {
-                job.places.remove(&piece.index);
-            }
-        }
-        if job.wants(piece.index) && !job.places.contains_key(&piece.index) {
-            job.pending.insert(piece.index);
-        }
-        if job.stands_together() {
-            self.gangs_due.insert(piece.job.clone());
-        }
-        self.index_job(&piece.job);
-    }
-
-    /// A start ended on its machine. It stays there as a tombstone until cleared.
-    fn ended(&mut self, now: Millis, host: &HostId, key: &(TaskId, Attempt), cause: Cause) {
-        let (piece, _) = key;
-        let lease = Millis::from_secs(self.policy.facts.workers.lease_s);
-        tracing::debug!(piece = %piece, host = %host, cause = ?cause, "ended");
-        self.note_idle(now, host);
-        if cause == Cause::Done {
-            self.note_run_time(now, host, key);
-            if let Some(job) = self.jobs.get_mut(&piece.job) {
-                if piece.index < job.spec.pieces && !job.over && job.done.add(piece.index) {
-                    job.unsaved.insert(piece.index);
-                    job.pending.remove(&piece.index);
-                }
-                job.failures = 0;
-            }
-            self.index_job(&piece.job);
-            if let Some(m) = self.machines.get_mut(host) {
-                m.failed_jobs.clear();
-            }
-        }
-        self.drop_place(host, piece);
-        match cause {
-            Cause::Error => self.failed(now, host, piece),
-            Cause::Full => {
-                if let Some(m) = self.machines.get_mut(host) {
-                    m.full_until = now + Millis(3000);
-                }
-            }
-            Cause::Unknown => {
-                // The description isn't there yet; try again a little later.
-                if let Some(job) = self.jobs.get_mut(&piece.job) {
-                    job.not_before = job.not_before.max(now + Millis(2000));
-                }
-            }
-            Cause::Busy => {
-                // Another try of this task is on the machine although we held it for empty: leave
-                // the machine to its next reports, which list that try.
-                if let Some(m) = self.machines.get_mut(host) {
-                    m.full_until = now + Millis(6000);
-                }
-            }
-            Cause::Incomplete => {
-                // Its image is there: the machine is kept for when the others have theirs.
-                if let Some(m) = self.machines.get_mut(host) {
-                    m.kept_for = Some((piece.job.clone(), now + lease));
-                }
-                if let Some(job) = self.jobs.get_mut(&piece.job) {
-                    job.incomplete = true;
-                }
-            }
-            Cause::Done | Cause::Stopped | Cause::MatesGone => {}
-        }
-    }
-
-    /// A task failed: mostly the machine is faulty, but a job may be.
-    fn failed(&mut self, now: Millis, host: &HostId, piece: &TaskId) {
-        let most = self.policy.operator.sick_errors as usize;
-        let Some(job) = self.jobs.get_mut(&piece.job) else {
-            return;
-        };
-        job.failures += 1;
-        job.failed_on.insert(host.clone());
-        // A job that failed on several machines backs off and condemns none of them.
-        let mistaken = job.mistaken();
-        let failed_on = job.failed_on.clone();
-        if job.failed_on.len() > 1 {
-            let step = JOB_BACKOFF.0 .0 << (job.failed_on.len() as u32 - 2).min(5);
-            job.not_before = now + Millis(step.min(JOB_BACKOFF.1 .0));
-        }
-        if mistaken {
-            // Guards against jobs submitted with a mistake that take machines down with them: the marks
-            // of the first machines that it failed on are taken back.
-            for host in &failed_on {
-                if let Some(m) = self.machines.get_mut(host) {
-                    m.forget_failures_of(&piece.job, most);
-                }
-                self.index_machine(host);
-            }
-        }
-        if let Some(m) = self.machines.get_mut(host) {
-            if !mistaken {
-                m.failed_jobs.insert(piece.job.clone());
-            }
-            m.full_until = now + Millis(2000);
-            if m.failed_jobs.len() >= most && !m.drain {
-                tracing::info!(host = %host, "sick: tasks of different jobs fail here");
-                m.start_drain(now);
-                m.sick = true;
-            }
-        }
-    }
-
-    /// A start is proven gone. Callers name the proof.
-    pub(crate) fn remove_start(&mut self, now: Millis, host: &HostId, key: &(TaskId, Attempt)) {
-        let Some(s) = self.take_start(now, host, key) else {
-            return;
-        };
-        self.note_idle(now, host);
-        if !s.ended() {
-            tracing::debug!(piece = %key.0, host = %host, "proven gone");
-            self.drop_place(host, &key.0);
-        }
-    }
-
-    /// Notes since when a machine has had nothing to do.
-    fn note_idle(&mut self, now: Millis, host: &HostId) {
-        if let Some(m) = self.machines.get_mut(host) {
-            if m.live > 0 {
-                m.idle_since = None;
-            } else {
-                m.idle_since.get_or_insert(now);
-            }
-        }
-    }
-
-    /// Starts of a closed job that were never launched by anybody are dropped at once.
-    pub(crate) fn drop_untouched(&mut self, now: Millis, host: &HostId, job: &JobId) {
-        let Some(m) = self.machines.get(host) else {
-            return;
-        };
-        let keys: Vec<_> = m
-            .starts
-            .values()
-            .filter(|s| s.piece.job == *job && s.untouched())
-            .map(|s| (s.piece.clone(), s.attempt))
-            .collect();
-        for key in keys {
-            // Proof: never launched. If its intent is being written, that only errs on the safe side.
-            self.remove_start(now, host, &key);
-        }
-    }
-
-    /// All starts of a machine are proven gone at once: its lease is over, or the cloud said so.
-    pub(crate) fn empty_machine(&mut self, now: Millis, host: &HostId) {
-        let Some(m) = self.machines.get(host) else {
-            return;
-        };
-        let keys: Vec<_> = m.starts.keys().cloned().collect();
-        for key in keys {
-            self.remove_start(now, host, &key);
-        }
-    }
-
     /// Once a second: leases that are over, machines that heed nothing, starts that make no
     /// progress.
     pub(crate) fn recheck_machines(&mut self, now: Millis) {
--- /dev/null
+++ b/src/coordination/worker_sessions/places.rs
@@ -0,0 +1,106 @@
+//! Where the tasks of jobs may be, and how starts leave the ledger.
+
+use super::super::Core;
+use crate::ids::{Attempt, HostId, JobId, Millis, TaskId};
+use crate::storage::ledger::Start;
+
+impl Core {
+    pub(crate) fn start_mut(
+        &mut self,
+        host: &HostId,
+        key: &(TaskId, Attempt),
+    ) -> Option<&mut Start> {
+        self.machines.get_mut(host)?.starts.get_mut(key)
+    }
+
+    pub(crate) fn add_place(&mut self, host: &HostId, piece: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&piece.job) {
+            let places = job.places.entry(piece.index).or_default();
+            if !places.contains(host) {
+                places.push(host.clone());
+            }
+            job.pending.remove(&piece.index);
+            self.index_job(&piece.job);
+        }
+    }
+
+    /// The piece no longer is on that machine (ended there, or proven gone).
+    pub(super) fn drop_place(&mut self, host: &HostId, piece: &TaskId) {
+        // Another try of the same task may be on this machine.
+        let still = self.machines.get(host).is_some_and(|m| {
+            let tries = (piece.clone(), Attempt(0))..=(piece.clone(), Attempt(u64::MAX));
+            m.starts.range(tries).any(|(_, s)| !s.ended())
+        });
+        self.dirty = true;
+        let Some(job) = self.jobs.get_mut(&piece.job) else {
+            return;
+        };
+        if still {
+            return;
+        }
+        if let Some(places) = job.places.get_mut(&piece.index) {
+            places.retain(|h| h != host);
+            if places.is_empty() {
+                job.places.remove(&piece.index);
+            }
+        }
+        if job.wants(piece.index) && !job.places.contains_key(&piece.index) {
+            job.pending.insert(piece.index);
+        }
+        if job.stands_together() {
+            self.gangs_due.insert(piece.job.clone());
+        }
+        self.index_job(&piece.job);
+    }
+
+    /// A start is proven gone. Callers name the proof.
+    pub(crate) fn remove_start(&mut self, now: Millis, host: &HostId, key: &(TaskId, Attempt)) {
+        let Some(s) = self.take_start(now, host, key) else {
+            return;
+        };
+        self.note_idle(now, host);
+        if !s.ended() {
+            tracing::debug!(piece = %key.0, host = %host, "proven gone");
+            self.drop_place(host, &key.0);
+        }
+    }
+
+    /// Notes since when a machine has had nothing to do.
+    pub(super) fn note_idle(&mut self, now: Millis, host: &HostId) {
+        if let Some(m) = self.machines.get_mut(host) {
+            if m.live > 0 {
+                m.idle_since = None;
+            } else {
+                m.idle_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Starts of a closed job that were never launched by anybody are dropped at once.
+    pub(crate) fn drop_untouched(&mut self, now: Millis, host: &HostId, job: &JobId) {
+        let Some(m) = self.machines.get(host) else {
+            return;
+        };
+        let keys: Vec<_> = m
+            .starts
+            .values()
+            .filter(|s| s.piece.job == *job && s.untouched())
+            .map(|s| (s.piece.clone(), s.attempt))
+            .collect();
+        for key in keys {
+            // Proof: never launched. If its intent is being written, that only errs on the safe side.
+            self.remove_start(now, host, &key);
+        }
+    }
+
+    /// All starts of a machine are proven gone at once: its lease is over, or the cloud said so.
+    pub(crate) fn empty_machine(&mut self, now: Millis, host: &HostId) {
+        let Some(m) = self.machines.get(host) else {
+            return;
+        };
+        let keys: Vec<_> = m.starts.keys().cloned().collect();
+        for key in keys {
+            self.remove_start(now, host, &key);
+        }
+    }
+}
--- /dev/null
+++ b/src/coordination/worker_sessions/task_ends.rs
@@ -0,0 +1,108 @@
+//! What follows when a task has ended on its machine.
+
+use super::super::Core;
+use crate::ids::{Attempt, HostId, Millis, TaskId};
+use crate::protocol::workers::Cause;
+
+/// Errors of one job on several machines make it wait, doubling, between these.
+const JOB_BACKOFF: (Millis, Millis) = (Millis(2000), Millis(60_000));
+
+impl Core {
+    /// A start ended on its machine. It stays there as a tombstone until cleared.
+    pub(super) fn ended(
+        &mut self,
+        now: Millis,
+        host: &HostId,
+        key: &(TaskId, Attempt),
+        cause: Cause,
+    ) {
+        let (piece, _) = key;
+        let lease = Millis::from_secs(self.policy.facts.workers.lease_s);
+        tracing::debug!(piece = %piece, host = %host, cause = ?cause, "ended");
+        self.note_idle(now, host);
+        if cause == Cause::Done {
+            self.note_run_time(now, host, key);
+            if let Some(job) = self.jobs.get_mut(&piece.job) {
+                if piece.index < job.spec.pieces && !job.over && job.done.add(piece.index) {
+                    job.unsaved.insert(piece.index);
+                    job.pending.remove(&piece.index);
+                }
+                job.failures = 0;
+            }
+            self.index_job(&piece.job);
+            if let Some(m) = self.machines.get_mut(host) {
+                m.failed_jobs.clear();
+            }
+        }
+        self.drop_place(host, piece);
+        match cause {
+            Cause::Error => self.failed(now, host, piece),
+            Cause::Full => {
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.full_until = now + Millis(3000);
+                }
+            }
+            Cause::Unknown => {
+                // The description isn't there yet; try again a little later.
+                if let Some(job) = self.jobs.get_mut(&piece.job) {
+                    job.not_before = job.not_before.max(now + Millis(2000));
+                }
+            }
+            Cause::Busy => {
+                // Another try of this task is on the machine although we held it for empty: leave
+                // the machine to its next reports, which list that try.
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.full_until = now + Millis(6000);
+                }
+            }
+            Cause::Incomplete => {
+                // Its image is there: the machine is kept for when the others have theirs.
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.kept_for = Some((piece.job.clone(), now + lease));
+                }
+                if let Some(job) = self.jobs.get_mut(&piece.job) {
+                    job.incomplete = true;
+                }
+            }
+            Cause::Done | Cause::Stopped | Cause::MatesGone => {}
+        }
+    }
+
+    /// A task failed: mostly the machine is faulty, but a job may be.
+    pub(super) fn failed(&mut self, now: Millis, host: &HostId, piece: &TaskId) {
+        let most = self.policy.operator.sick_errors as usize;
+        let Some(job) = self.jobs.get_mut(&piece.job) else {
+            return;
+        };
+        job.failures += 1;
+        job.failed_on.insert(host.clone());
+        // A job that failed on several machines backs off and condemns none of them.
+        let mistaken = job.mistaken();
+        let failed_on = job.failed_on.clone();
+        if job.failed_on.len() > 1 {
+            let step = JOB_BACKOFF.0 .0 << (job.failed_on.len() as u32 - 2).min(5);
+            job.not_before = now + Millis(step.min(JOB_BACKOFF.1 .0));
+        }
+        if mistaken {
+            // Guards against jobs submitted with a mistake that take machines down with them: the marks
+            // of the first machines that it failed on are taken back.
+            for host in &failed_on {
+                if let Some(m) = self.machines.get_mut(host) {
+                    m.forget_failures_of(&piece.job, most);
+                }
+                self.index_machine(host);
+            }
+        }
+        if let Some(m) = self.machines.get_mut(host) {
+            if !mistaken {
+                m.failed_jobs.insert(piece.job.clone());
+            }
+            m.full_until = now + Millis(2000);
+            if m.failed_jobs.len() >= most && !m.drain {
+                tracing::info!(host = %host, "sick: tasks of different jobs fail here");
+                m.start_drain(now);
+                m.sick = true;
+            }
+        }
+    }
+}
