--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,18 +1,21 @@
 //! The core alone at 4,500 machines and some tens of thousands of tasks: what an event costs is
 //! counted, not timed. The work asked of the outside must follow what changed, not the fleet.
 
+#[path = "support/machine_type.rs"]
+mod machine_type;
+
 use chalklug::coordination::leadership::Lead;
 use chalklug::coordination::recovery::Inheritance;
 use chalklug::coordination::waiting::WaitReason;
 use chalklug::coordination::worker_sessions::CheckInAnswer;
 use chalklug::coordination::{Core, Effect, Event, Policy};
 use chalklug::ids::*;
-use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::state::{Change, Item};
 use chalklug::protocol::users::parse_submission;
 use chalklug::protocol::workers::{Order, Report, TaskPhase, TaskReport};
 use chalklug::settings::*;
 use chalklug::storage::records::*;
+use machine_type::machine_type;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -36,21 +39,6 @@
     })
 }
 
-fn rig() -> MachineTypeInfo {
-    MachineTypeInfo {
-        name: MachineType::from("box"),
-        cpus: 64.0,
-        gpus: GPUS as f64,
-        ram_gb: 256.0,
-        cache_gb: 150.0,
-        fetch_gb_per_s: 1.0,
-        price: 10.0,
-        spot_price: 4.0,
-        boot_s: 25.0,
-        sites: vec![Zone::from("a"), Zone::from("b")],
-    }
-}
-
 fn host(n: u64) -> HostId {
     HostId::from(format!("host-{n:06}").as_str())
 }
@@ -112,7 +100,7 @@
                 )
             })
             .collect(),
-        rigs: vec![rig()],
+        rigs: vec![machine_type(GPUS as f64)],
         ..Inheritance::default()
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -5,6 +5,8 @@
 mod chains;
 #[path = "random/faults.rs"]
 mod faults;
+#[path = "support/machine_type.rs"]
+mod machine_type;
 #[path = "upgrade/repacking.rs"]
 mod repacking;
 mod world;
--- a/tests/upgrade/repacking.rs
+++ b/tests/upgrade/repacking.rs
@@ -1,12 +1,12 @@
 //! Pages that were written while the state service took larger values: a new leader brings them down to
 //! what it will take, and at no moment is a machine on no page.
 
+use super::machine_type::machine_type;
 use super::world::store::Store;
 use chalklug::coordination::leadership::Lead;
 use chalklug::coordination::recovery::Inheritance;
 use chalklug::coordination::{Core, Effect, Event, Policy};
 use chalklug::ids::*;
-use chalklug::protocol::cloud::MachineTypeInfo;
 use chalklug::protocol::state::{Change, Txn};
 use chalklug::protocol::users::parse_submission;
 use chalklug::settings::Operator;
@@ -42,21 +42,6 @@
     })
 }
 
-fn machine_type() -> MachineTypeInfo {
-    MachineTypeInfo {
-        name: MachineType::from("box"),
-        cpus: 64.0,
-        gpus: 8.0,
-        ram_gb: 256.0,
-        cache_gb: 150.0,
-        fetch_gb_per_s: 1.0,
-        price: 10.0,
-        spot_price: 4.0,
-        boot_s: 25.0,
-        sites: vec![Zone::from("a"), Zone::from("b")],
-    }
-}
-
 fn host(n: u32) -> HostId {
     HostId::from(format!("host-{n:06}").as_str())
 }
@@ -94,7 +79,7 @@
     let found = Inheritance {
         hosts: store.list(HOSTS),
         intents: store.list(INTENTS),
-        rigs: vec![machine_type()],
+        rigs: vec![machine_type(8.0)],
         day_ms: 1_700_000_000_000,
         ..Inheritance::default()
     };
