--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -248,7 +248,7 @@
     pub(crate) writer: Writer,
     pub(crate) effects: Vec<Effect>,
     pub(crate) next_seq: u64,
-    pub(crate) next_try: u64,
+    pub(crate) next_attempt: u64,
     /// Something changed that placement should look at.
     pub(crate) dirty: bool,
     pub(crate) last_recheck: Millis,
@@ -300,10 +300,10 @@
         self.next_seq
     }
 
-    /// A try never used before: tokens are unique for ever, and so is the count within one.
-    pub(crate) fn fresh_try(&mut self) -> Attempt {
-        self.next_try += 1;
-        Attempt((self.lead.first.0 << 20) | (self.next_try & 0xf_ffff))
+    /// An attempt never used before: tokens are unique for ever, and so is the count within one.
+    pub fn fresh_attempt(&mut self) -> Attempt {
+        self.next_attempt += 1;
+        Attempt((self.lead.first.0 << ATTEMPT_BITS) | (self.next_attempt & ATTEMPT_MASK))
     }
 
     /// What one machine of the type offers.
@@ -426,5 +426,10 @@
     }
 }
 
+/// Bits of an attempt's number that count within one leadership. Guards against numbers that come again:
+/// with 20 bits they did after eleven hours of passes without a change of leaders; this takes five years.
+const ATTEMPT_BITS: u32 = 32;
+const ATTEMPT_MASK: u64 = (1 << ATTEMPT_BITS) - 1;
+
 /// Placement looks at most this often: what happens in between is decided together.
 const PASS_EVERY: Millis = Millis(40);
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -121,7 +121,7 @@
         }
         let mut pass = Pass {
             most_placed,
-            attempt: self.fresh_try(),
+            attempt: self.fresh_attempt(),
             used: self.used.clone(),
             kept: BTreeSet::new(),
             favoured: self
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -81,7 +81,7 @@
             gone: BTreeSet::new(),
             effects: Vec::new(),
             next_seq: 0,
-            next_try: 0,
+            next_attempt: 0,
             dirty: true,
             last_recheck: now,
             placement_budget: Core::placement_budget(policy.facts.quota.cores),
--- a/src/coordination/waiting.rs
+++ b/src/coordination/waiting.rs
@@ -27,9 +27,10 @@
     /// How many jobs, and how many of their tasks.
     pub jobs: usize,
     pub tasks: usize,
-    /// The one that was submitted first, and when.
+    /// The one that has waited for longest, and since when: its release, or, while it waits for others,
+    /// its submission.
     pub oldest: JobId,
-    pub submitted: Millis,
+    pub since: Millis,
 }
 
 impl Core {
@@ -44,13 +45,13 @@
                 jobs: 0,
                 tasks: 0,
                 oldest: id.clone(),
-                submitted: job.submitted,
+                since: job.ready,
             });
             entry.jobs += 1;
             entry.tasks += job.pending.len();
-            if job.submitted < entry.submitted {
+            if job.ready < entry.since {
                 entry.oldest = id.clone();
-                entry.submitted = job.submitted;
+                entry.since = job.ready;
             }
         }
         by_reason
@@ -82,7 +83,7 @@
                 jobs = waiting.jobs,
                 tasks = waiting.tasks,
                 oldest = %waiting.oldest,
-                age_s = (now - waiting.submitted).secs(),
+                age_s = (now - waiting.since).secs(),
                 "waiting"
             );
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -11,7 +11,7 @@
 use chalklug::coordination::{Core, Effect, Event, Policy};
 use chalklug::ids::*;
 use chalklug::protocol::state::{Change, Item};
-use chalklug::protocol::users::parse_submission;
+use chalklug::protocol::users::{parse_submission, JobPhase};
 use chalklug::protocol::workers::{Order, Report, TaskPhase, TaskReport};
 use chalklug::settings::*;
 use chalklug::storage::records::*;
@@ -410,3 +410,39 @@
     core.audit().unwrap();
     assert_eq!((reads, marks, deletes), (1, CONSUMERS, CONSUMERS));
 }
+
+/// A new leader tells from the finish marks of its producers how long a job has been ready; without a time
+/// on any, it counts from now.
+#[test]
+fn a_new_leader_learns_when_a_job_was_released() {
+    let now = Millis(100_000);
+    let mut core = Core::take_over(policy(), lead(9), now, inherited()).unwrap();
+    let producers = ["wk-800001", "wk-800002"].map(JobId::from).to_vec();
+    core.on(now, gpu_job("wk-900001", 4, producers.clone()));
+    core.on(now, gpu_job("wk-900002", 4, vec![JobId::from("wk-800003")]));
+    let done = |at_ms| FinalRecord {
+        phase: JobPhase::Done,
+        pieces: 1,
+        at_ms,
+    };
+    let [first, second] = [Some(60_000), Some(80_000)].map(done);
+    let marks = producers.into_iter().zip([Some(first), Some(second)]);
+    let mut marks: Vec<_> = marks.collect();
+    marks.push((JobId::from("wk-800003"), Some(done(None))));
+    core.on(now, Event::MarksRead { marks });
+    let waiting = core.waiting_jobs(now);
+    let limited = &waiting[&WaitReason::TeamLimit];
+    assert_eq!((limited.jobs, limited.since), (2, Millis(80_000)));
+    assert_eq!(limited.oldest, JobId::from("wk-900001"));
+}
+
+/// Attempts are not used twice, however many passes one leadership makes.
+#[test]
+fn attempts_of_one_leadership_differ_after_a_million_passes() {
+    let now = Millis(1000);
+    let mut core = idle_fleet(policy(), now);
+    let first = core.fresh_attempt();
+    for _ in 0..1 << 21 {
+        assert_ne!(core.fresh_attempt(), first);
+    }
+}
