--- a/src/coordination/ageing.rs
+++ b/src/coordination/ageing.rs
@@ -69,7 +69,7 @@
         let larger = self.ageing.sizes.get(class).is_some_and(|s| {
             let mut s: Vec<u32> = s.iter().copied().collect();
             s.sort_unstable();
-            s.get(s.len() / 2).is_some_and(|m| job.spec.pieces > *m)
+            s.get(s.len() / 2).is_some_and(|m| job.spec.tasks > *m)
         });
         if larger {
             groups.push(Group::Largest(class.clone()));
@@ -78,9 +78,9 @@
     }
 
     /// Notes the size of a job that was opened.
-    pub(crate) fn note_size(&mut self, class: &str, pieces: u32) {
+    pub(crate) fn note_size(&mut self, class: &str, tasks: u32) {
         let sizes = self.ageing.sizes.entry(class.to_string()).or_default();
-        sizes.push_back(pieces);
+        sizes.push_back(tasks);
         if sizes.len() > SIZES {
             sizes.pop_front();
         }
--- a/src/coordination/candidates.rs
+++ b/src/coordination/candidates.rs
@@ -27,7 +27,7 @@
     fixed: f64,
     room: Amount,
     host: HostId,
-    site: Zone,
+    zone: Zone,
     whole: Amount,
     listed: usize,
 }
@@ -87,12 +87,12 @@
         } else {
             BTreeMap::new()
         };
-        let most_in_zone = spec.pieces.div_ceil(2);
+        let most_in_zone = spec.tasks.div_ceil(2);
         // Machines that may take it, with what does not change as tasks are added.
         let mut heap: BinaryHeap<Candidate> = self
             .with_room_for(spec)
             .filter(|m| need.fits(&m.free) && m.starts.len() < MAX_LISTED)
-            .filter(|m| Self::allows(spec, m) && zone.is_none_or(|z| *z == m.site))
+            .filter(|m| Self::allows(spec, m) && zone.is_none_or(|z| *z == m.zone))
             .filter(|m| self.usable(m, now) && !pass.kept.contains(&m.id))
             .filter(|m| !pass.cached || m.has_image(&spec.image))
             .filter(|m| !(avoid && job.failed_on.contains(&m.id)))
@@ -108,8 +108,8 @@
                     fixed: self.wait_for_image(now, m, spec) + Self::dislike(m, spec, latency),
                     room: m.free,
                     host: m.id.clone(),
-                    site: m.site.clone(),
-                    whole: self.capacity(&m.rig),
+                    zone: m.zone.clone(),
+                    whole: self.capacity(&m.machine_type),
                     listed: m.starts.len(),
                 }
                 .price()
@@ -118,7 +118,7 @@
         let mut plan: Vec<(u32, HostId)> = Vec::new();
         for index in pending {
             let Some(mut best) = heap.pop() else { break };
-            while spec.scatter && zones.get(&best.site).copied().unwrap_or(0) >= most_in_zone {
+            while spec.scatter && zones.get(&best.zone).copied().unwrap_or(0) >= most_in_zone {
                 // That zone is full, and stays so.
                 match heap.pop() {
                     Some(next) => best = next,
@@ -128,7 +128,7 @@
             plan.push((*index, best.host.clone()));
             best.room.sub(&need);
             best.listed += 1;
-            *zones.entry(best.site.clone()).or_default() += 1;
+            *zones.entry(best.zone.clone()).or_default() += 1;
             if need.fits(&best.room) && best.listed < MAX_LISTED {
                 heap.push(best.price());
             }
--- a/src/coordination/chains.rs
+++ b/src/coordination/chains.rs
@@ -164,7 +164,7 @@
         }
         let (spec, ready) = (job.spec.clone(), job.ready);
         self.note_arrival(&spec, ready);
-        self.note_size(&spec.class, spec.pieces);
+        self.note_size(&spec.class, spec.tasks);
         self.index_job(&release.id);
         self.dirty = true;
     }
--- a/src/coordination/demand.rs
+++ b/src/coordination/demand.rs
@@ -49,7 +49,7 @@
         Demand {
             intervals: VecDeque::new(),
             told: None,
-            tasks: f64::from(spec.pieces),
+            tasks: f64::from(spec.tasks),
             last: VecDeque::from([spec.clone()]),
         }
     }
@@ -77,7 +77,7 @@
             }
             self.intervals.pop_front();
         }
-        self.tasks += (f64::from(spec.pieces) - self.tasks) * SIZE_NEW;
+        self.tasks += (f64::from(spec.tasks) - self.tasks) * SIZE_NEW;
         self.last.push_back(spec.clone());
         if self.last.len() > LAST {
             self.last.pop_front();
--- a/src/coordination/estimates.rs
+++ b/src/coordination/estimates.rs
@@ -40,7 +40,7 @@
         job.ran_most_s = job.ran_most_s.max(ran_s);
         job.ran += 1;
         // All are done but this one, which is about to be.
-        let whole = job.ran >= ALIKE && job.done.count() + 1 >= job.spec.pieces;
+        let whole = job.ran >= ALIKE && job.done.count() + 1 >= job.spec.tasks;
         let longer = (whole && job.ran_s > 0.0)
             .then(|| job.ran_most_s * f64::from(job.ran) / job.ran_s - 1.0);
         if job.spec.guess_s <= 0.0 {
@@ -95,7 +95,7 @@
             .get(&job.spec.class)
             .and_then(|o| o.longer)
             .unwrap_or(0.0);
-        let part = if job.spec.pieces < ALIKE { 0.0 } else { longer };
+        let part = if job.spec.tasks < ALIKE { 0.0 } else { longer };
         self.estimate_of(job) * (1.0 + part)
     }
 
@@ -113,9 +113,13 @@
     /// The largest part that a task takes of the machine type which it takes least of.
     pub(super) fn part_of_machine(&self, spec: &JobSpec) -> f64 {
         let part = |need: f64, have: f64| if have > 0.0 { need / have } else { 0.0 };
-        self.rigs
+        self.machine_types
             .values()
-            .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name)))
+            .filter(|r| {
+                spec.machine_types
+                    .as_ref()
+                    .is_none_or(|a| a.contains(&r.name))
+            })
             .map(|r| part(spec.gpus, r.gpus).max(part(spec.cpus, r.cpus)))
             .filter(|p| *p <= 1.0)
             .fold(f64::INFINITY, f64::min)
--- a/src/coordination/fleet.rs
+++ b/src/coordination/fleet.rs
@@ -82,15 +82,17 @@
 const DRAIN_PATIENCE: Millis = Millis(20_000);
 
 impl Core {
-    pub(crate) fn boot_s(&self, rig: &MachineType) -> f64 {
-        self.rigs.get(rig).map_or(30.0, |r| r.boot_s)
+    pub(crate) fn boot_s(&self, machine_type: &MachineType) -> f64 {
+        self.machine_types
+            .get(machine_type)
+            .map_or(30.0, |r| r.boot_s)
     }
 
     /// What it would take to have such a machine again: to boot it and fetch an image. Keeping it
     /// idle for as long costs at most twice what the best choice in hindsight would have.
     fn renewal_s(&self, m: &Machine) -> f64 {
         let gb = m.images.iter().map(|(_, gb)| *gb).fold(0.0, f64::max);
-        self.boot_s(&m.rig) + self.fetch_s(&m.rig, gb)
+        self.boot_s(&m.machine_type) + self.fetch_s(&m.machine_type, gb)
     }
 
     /// Takes a machine into the ledger, unless it is there. `verified` if more than a report speaks
@@ -100,15 +102,22 @@
         &mut self,
         now: Millis,
         id: &HostId,
-        rig: &MachineType,
-        site: &Zone,
+        machine_type: &MachineType,
+        zone: &Zone,
         spot: bool,
         since: Millis,
         verified: bool,
     ) {
         if !self.machines.contains_key(id) {
-            let whole = self.capacity(rig);
-            let mut m = Machine::new(id.clone(), rig.clone(), site.clone(), spot, whole, since);
+            let whole = self.capacity(machine_type);
+            let mut m = Machine::new(
+                id.clone(),
+                machine_type.clone(),
+                zone.clone(),
+                spot,
+                whole,
+                since,
+            );
             m.answered = self.began;
             m.verified = false;
             m.direct_after = now;
@@ -155,7 +164,7 @@
             }
             up += 1;
             idle += u32::from(m.live == 0);
-            gpus[0] += self.capacity(&m.rig).gpus;
+            gpus[0] += self.capacity(&m.machine_type).gpus;
             gpus[1] += m.free.gpus.max(0.0);
             for s in m.going() {
                 let runs = s.running_since.is_some();
@@ -200,10 +209,10 @@
                 continue;
             }
             if !self.machines.contains_key(&h.id) {
-                tracing::info!(host = %h.id, rig = %h.rig, "listed, but not known: taken on");
+                tracing::info!(host = %h.id, machine_type = %h.machine_type, "listed, but not known: taken on");
             }
             let since = asked - Millis::from_secs(h.age_s);
-            self.enter_machine(now, &h.id, &h.rig, &h.site, h.spot, since, true);
+            self.enter_machine(now, &h.id, &h.machine_type, &h.zone, h.spot, since, true);
             let Some(m) = self.machines.get_mut(&h.id) else {
                 continue;
             };
--- a/src/coordination/fleet/rentals.rs
+++ b/src/coordination/fleet/rentals.rs
@@ -35,11 +35,11 @@
             }
             if let Some(h) = self.fleet.hires.get_mut(&name) {
                 h.again_at = None;
-                let (rig, site, spot) = h.kind.clone();
+                let (machine_type, zone, spot) = h.kind.clone();
                 self.effects.push(Effect::Rent {
                     hire: name,
-                    rig,
-                    site,
+                    machine_type,
+                    zone,
                     spot,
                     count: h.count,
                 });
@@ -96,8 +96,8 @@
         // Unique for ever: tokens are, and so is the count within one.
         self.fleet.hired += 1;
         let name = format!("r-{}-{}", self.lead.first, self.fleet.hired);
-        tracing::debug!(hire = %name, rig = %kind.0, site = %kind.1, spot = kind.2, count, "renting");
-        let (rig, site, spot) = kind.clone();
+        tracing::debug!(hire = %name, machine_type = %kind.0, zone = %kind.1, spot = kind.2, count, "renting");
+        let (machine_type, zone, spot) = kind.clone();
         self.fleet.hires.insert(
             name.clone(),
             Hire {
@@ -109,8 +109,8 @@
         );
         self.effects.push(Effect::Rent {
             hire: name,
-            rig,
-            site,
+            machine_type,
+            zone,
             spot,
             count,
         });
@@ -118,8 +118,11 @@
 
     pub(crate) fn kind_allowed(spec: &JobSpec, kind: &Kind) -> bool {
         (spec.spot || !kind.2)
-            && spec.site.as_ref().is_none_or(|s| *s == kind.1)
-            && spec.rigs.as_ref().is_none_or(|r| r.contains(&kind.0))
+            && spec.zone.as_ref().is_none_or(|s| *s == kind.1)
+            && spec
+                .machine_types
+                .as_ref()
+                .is_none_or(|r| r.contains(&kind.0))
     }
 
     /// The cheapest kind for `left` tasks of the job, among those not refused lately; among equals
@@ -133,20 +136,24 @@
     ) -> Option<Kind> {
         let need = Amount::of(spec);
         let mut best: Option<((f64, usize), Kind)> = None;
-        for rig in self.rigs.values() {
-            let n = need.count_in(&self.capacity(&rig.name), left);
+        for machine_type in self.machine_types.values() {
+            let n = need.count_in(&self.capacity(&machine_type.name), left);
             if n == 0 {
                 continue;
             }
-            for site in &rig.sites {
+            for zone in &machine_type.zones {
                 for spot in [true, false] {
-                    let kind = (rig.name.clone(), site.clone(), spot);
+                    let kind = (machine_type.name.clone(), zone.clone(), spot);
                     let refused = self.fleet.refused.get(&kind);
                     if !Self::kind_allowed(spec, &kind) || refused.is_some_and(|r| r.0 > now) {
                         continue;
                     }
-                    let price = if spot { rig.spot_price } else { rig.price };
-                    let here = zones.get(site).copied().unwrap_or(0);
+                    let price = if spot {
+                        machine_type.spot_price
+                    } else {
+                        machine_type.price
+                    };
+                    let here = zones.get(zone).copied().unwrap_or(0);
                     let rank = (price / f64::from(n), here);
                     if best.as_ref().is_none_or(|(b, _)| rank < *b) {
                         best = Some((rank, kind));
@@ -165,7 +172,8 @@
         self.choose_kind(now, spec, 1, &BTreeMap::new()).is_some()
             || self.fleet.hires.values().any(|h| serves(&h.kind))
             || self.machines.values().any(|m| {
-                m.state == MachineState::Booting && serves(&(m.rig.clone(), m.site.clone(), m.spot))
+                m.state == MachineState::Booting
+                    && serves(&(m.machine_type.clone(), m.zone.clone(), m.spot))
             })
     }
 
@@ -187,10 +195,10 @@
         } else {
             self.fleet.refused.remove(&h.kind);
         }
-        let (rig, site, spot) = h.kind;
+        let (machine_type, zone, spot) = h.kind;
         for id in hosts.into_iter().flatten() {
             if !self.gone.contains(&id) {
-                self.enter_machine(now, &id, &rig, &site, spot, h.asked, true);
+                self.enter_machine(now, &id, &machine_type, &zone, spot, h.asked, true);
             }
         }
         self.dirty = true;
--- a/src/coordination/fleet/returns.rs
+++ b/src/coordination/fleet/returns.rs
@@ -40,22 +40,22 @@
             let lost =
                 m.state == MachineState::Returning && m.heard.is_none_or(|h| now - h > quiet);
             if m.state == MachineState::Up || lost {
-                let z = zones.entry(m.site.clone()).or_default();
+                let z = zones.entry(m.zone.clone()).or_default();
                 z.0 += 1.0;
                 z.1 += f64::from(u8::from(lost || m.silent(now, quiet)));
             }
         }
         let share = self.policy.operator.give_up_share;
-        for (site, (up, lost)) in zones {
+        for (zone, (up, lost)) in zones {
             if lost > (up * share).max(2.0) {
-                self.fleet.suspected.insert(site, now + quiet);
+                self.fleet.suspected.insert(zone, now + quiet);
             }
         }
         self.fleet.suspected.retain(|_, until| now < *until);
         self.machines
             .values()
             .filter(|m| m.silent(now, silence))
-            .filter(|m| !self.fleet.suspected.contains_key(&m.site))
+            .filter(|m| !self.fleet.suspected.contains_key(&m.zone))
             .map(|m| m.id.clone())
             .collect()
     }
@@ -80,7 +80,7 @@
             let busy = m.live > 0;
             let age = now - m.since;
             let dead_boot = m.state == MachineState::Booting
-                && age.secs() > self.boot_s(&m.rig) * DEAD_BOOTS + DEAD_PLUS_S;
+                && age.secs() > self.boot_s(&m.machine_type) * DEAD_BOOTS + DEAD_PLUS_S;
             // Idle and spare: returned soon. Otherwise kept for as long as it may be of use.
             let spare = self.fleet.spare.contains(&m.id);
             let keep_s = self.renewal_s(m)
--- a/src/coordination/forecast.rs
+++ b/src/coordination/forecast.rs
@@ -119,7 +119,7 @@
     pub(super) fn look_ahead(&self, now: Millis, unmet: &[Unmet], most: usize) -> Seen {
         let mut zones: BTreeMap<Zone, usize> = BTreeMap::new();
         for m in self.machines.values() {
-            *zones.entry(m.site.clone()).or_default() += 1;
+            *zones.entry(m.zone.clone()).or_default() += 1;
         }
         let bins = self.forecast(now);
         let coming = bins.len();
@@ -160,8 +160,8 @@
                 continue;
             }
             let mut spec = job.spec.clone();
-            if spec.together && job.stands_together() && spec.site.is_none() {
-                spec.site = self.zone_for(now, fleet, &spec);
+            if spec.together && job.stands_together() && spec.zone.is_none() {
+                spec.zone = self.zone_for(now, fleet, &spec);
             }
             let ask = Ask {
                 spec: &spec,
@@ -205,20 +205,20 @@
 
     /// Seconds until a start that doesn't run yet has its image.
     fn rest_of_fetch(&self, now: Millis, m: &Machine, s: &Start) -> f64 {
-        let Some(spec) = self.jobs.get(&s.piece.job).map(|j| &j.spec) else {
+        let Some(spec) = self.jobs.get(&s.task.job).map(|j| &j.spec) else {
             return 0.0;
         };
         if m.has_image(&spec.image) {
             return 0.0;
         }
-        (self.fetch_s(&m.rig, spec.image_gb) - (now - s.since).secs()).max(0.0)
+        (self.fetch_s(&m.machine_type, spec.image_gb) - (now - s.since).secs()).max(0.0)
     }
 
     /// The machines there are and that are coming, with the room they will have and when.
     fn forecast(&self, now: Millis) -> Vec<Bin> {
         let mut bins: Vec<Bin> = Vec::new();
         for m in self.machines.values() {
-            let kind = (m.rig.clone(), m.site.clone(), m.spot);
+            let kind = (m.machine_type.clone(), m.zone.clone(), m.spot);
             let bin = |from_s, room| Bin {
                 kind: kind.clone(),
                 idle: None,
@@ -232,20 +232,20 @@
             match m.state {
                 MachineState::Booting if !m.drain => {
                     let age = (now - m.since).secs();
-                    let boot = self.boot_s(&m.rig);
+                    let boot = self.boot_s(&m.machine_type);
                     if age < boot * COMING_BOOTS {
                         let rest = (boot - age).max(boot * 0.1);
-                        bins.push(bin(rest, self.capacity(&m.rig)));
+                        bins.push(bin(rest, self.capacity(&m.machine_type)));
                     }
                 }
                 MachineState::Up if self.usable(m, now) => {
                     let mut b = bin(0.0, m.free);
                     b.idle = (m.live == 0).then(|| m.id.clone());
-                    b.empty = emptiness(&m.free, &self.capacity(&m.rig));
+                    b.empty = emptiness(&m.free, &self.capacity(&m.machine_type));
                     b.class = self.reserved.get(&m.id).cloned();
                     b.images = m.images.iter().map(|(i, _)| i.clone()).collect();
                     for s in m.going() {
-                        let Some(job) = self.jobs.get(&s.piece.job) else {
+                        let Some(job) = self.jobs.get(&s.task.job) else {
                             continue;
                         };
                         let rest = match s.running_since {
@@ -282,24 +282,24 @@
     /// can be rented there; among equals the one with least machines.
     fn zone_for(&self, now: Millis, fleet: &ForecastFleet, spec: &JobSpec) -> Option<Zone> {
         let need = Amount::of(spec);
-        let sites: BTreeSet<&Zone> = self.rigs.values().flat_map(|r| &r.sites).collect();
-        let rank = |site: &Zone| {
+        let zones: BTreeSet<&Zone> = self.machine_types.values().flat_map(|r| &r.zones).collect();
+        let rank = |zone: &Zone| {
             let there = fleet
                 .bins
                 .iter()
-                .filter(|b| b.kind.1 == *site && Self::kind_allowed(spec, &b.kind))
+                .filter(|b| b.kind.1 == *zone && Self::kind_allowed(spec, &b.kind))
                 .filter(|b| b.class.as_ref().is_none_or(|c| *c == spec.class))
-                .map(|b| need.count_in(&b.room, spec.pieces))
+                .map(|b| need.count_in(&b.room, spec.tasks))
                 .sum::<u32>()
-                .min(spec.pieces);
+                .min(spec.tasks);
             let mut here = spec.clone();
-            here.site = Some(site.clone());
+            here.zone = Some(zone.clone());
             let rest =
-                there >= spec.pieces || self.choose_kind(now, &here, 1, &fleet.zones).is_some();
-            let machines = fleet.zones.get(site).copied().unwrap_or(0);
+                there >= spec.tasks || self.choose_kind(now, &here, 1, &fleet.zones).is_some();
+            let machines = fleet.zones.get(zone).copied().unwrap_or(0);
             (rest, there, Reverse(machines))
         };
-        sites.into_iter().max_by_key(|s| rank(s)).cloned()
+        zones.into_iter().max_by_key(|s| rank(s)).cloned()
     }
 
     /// Gives like tasks, one by one, to the machine of the forecast on which each starts first; a new
--- a/src/coordination/images.rs
+++ b/src/coordination/images.rs
@@ -55,9 +55,9 @@
 
     /// Seconds that the image takes to fetch on the type of machine that is quickest at it.
     pub(super) fn shortest_fetch_s(&self, spec: &JobSpec) -> f64 {
-        self.rigs
+        self.machine_types
             .keys()
-            .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(r)))
+            .filter(|r| spec.machine_types.as_ref().is_none_or(|a| a.contains(r)))
             .map(|r| self.fetch_s(r, spec.image_gb))
             .fold(f64::INFINITY, f64::min)
     }
@@ -69,7 +69,7 @@
             if m.state != MachineState::Up || m.drain || m.recall_at.is_some() {
                 continue;
             }
-            let gpus = self.capacity(&m.rig).gpus;
+            let gpus = self.capacity(&m.machine_type).gpus;
             for (image, _) in &m.images {
                 match room.get_mut(image) {
                     Some(r) => *r += gpus,
@@ -85,7 +85,7 @@
         if m.has_image(&spec.image) {
             return 0.0;
         }
-        let whole = self.fetch_s(&m.rig, spec.image_gb);
+        let whole = self.fetch_s(&m.machine_type, spec.image_gb);
         let fetching = |image: &Option<Image>| image.as_ref() == Some(&spec.image);
         let under_way = m
             .going()
@@ -101,14 +101,17 @@
     /// Seconds that the machine takes to fetch the image of a job that is known.
     pub(super) fn longest_fetch_s(&self, host: &HostId, job: &JobId) -> f64 {
         match (self.machines.get(host), self.jobs.get(job)) {
-            (Some(machine), Some(job)) => self.fetch_s(&machine.rig, job.spec.image_gb),
+            (Some(machine), Some(job)) => self.fetch_s(&machine.machine_type, job.spec.image_gb),
             _ => 0.0,
         }
     }
 
     /// Seconds that a machine of the type takes to fetch so much.
-    pub(crate) fn fetch_s(&self, rig: &MachineType, gb: f64) -> f64 {
-        let rate = self.rigs.get(rig).map_or(0.0, |r| r.fetch_gb_per_s);
+    pub(crate) fn fetch_s(&self, machine_type: &MachineType, gb: f64) -> f64 {
+        let rate = self
+            .machine_types
+            .get(machine_type)
+            .map_or(0.0, |r| r.fetch_gb_per_s);
         if rate > 0.0 {
             gb / rate
         } else {
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -152,7 +152,7 @@
     /// A direct command was not answered. `sent` is false if it certainly never left.
     DirectFailed { host: HostId, seq: u64, sent: bool },
     /// Machine types and their prices.
-    Rigs(Vec<MachineTypeInfo>),
+    MachineTypes(Vec<MachineTypeInfo>),
     /// The whole machine list, asked for at the given moment.
     Hosts {
         asked: Millis,
@@ -210,8 +210,8 @@
     },
     Rent {
         hire: String,
-        rig: MachineType,
-        site: Zone,
+        machine_type: MachineType,
+        zone: Zone,
         spot: bool,
         count: u32,
     },
@@ -232,7 +232,7 @@
     pub(crate) day_ms: u64,
     /// When this leadership began: no former leader has answered a worker since.
     pub(crate) began: Millis,
-    pub(crate) rigs: BTreeMap<MachineType, MachineTypeInfo>,
+    pub(crate) machine_types: BTreeMap<MachineType, MachineTypeInfo>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) graph: Graph,
     /// The reading of finish marks of producers that are not held here.
@@ -307,12 +307,14 @@
     }
 
     /// What one machine of the type offers.
-    pub(crate) fn capacity(&self, rig: &MachineType) -> Amount {
-        self.rigs.get(rig).map_or(Amount::default(), |r| Amount {
-            cpus: r.cpus,
-            gpus: r.gpus,
-            ram_gb: r.ram_gb,
-        })
+    pub(crate) fn capacity(&self, machine_type: &MachineType) -> Amount {
+        self.machine_types
+            .get(machine_type)
+            .map_or(Amount::default(), |r| Amount {
+                cpus: r.cpus,
+                gpus: r.gpus,
+                ram_gb: r.ram_gb,
+            })
     }
 
     /// Takes in an event.
@@ -330,8 +332,11 @@
                 self.direct_answered(now, &host, seq, &report)
             }
             Event::DirectFailed { host, seq, sent } => self.direct_failed(now, &host, seq, sent),
-            Event::Rigs(rigs) => {
-                self.rigs = rigs.into_iter().map(|r| (r.name.clone(), r)).collect();
+            Event::MachineTypes(machine_types) => {
+                self.machine_types = machine_types
+                    .into_iter()
+                    .map(|r| (r.name.clone(), r))
+                    .collect();
                 self.recount_room();
                 self.dirty = true;
             }
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -24,9 +24,9 @@
             return false;
         }
         let done = s.seen.is_some_and(|x| x.cause == Some(Cause::Done));
-        match self.jobs.get(&s.piece.job) {
+        match self.jobs.get(&s.task.job) {
             Some(j) if done && !j.over => {
-                j.done.has(s.piece.index) && !j.unsaved.contains(&s.piece.index)
+                j.done.has(s.task.index) && !j.unsaved.contains(&s.task.index)
             }
             _ => true,
         }
@@ -43,8 +43,8 @@
             && m.state == MachineState::Up
             && self
                 .jobs
-                .get(&s.piece.job)
-                .is_some_and(|j| j.wants(s.piece.index))
+                .get(&s.task.job)
+                .is_some_and(|j| j.wants(s.task.index))
     }
 
     /// Whether a member of a gang has its image so much sooner than another that it would give up
@@ -57,12 +57,12 @@
         let Some(soon) = s.image_s else {
             return false;
         };
-        let Some(job) = self.jobs.get(&s.piece.job) else {
+        let Some(job) = self.jobs.get(&s.task.job) else {
             return false;
         };
         let patience = self.policy.facts.workers.gang_wait_s * PATIENT;
         let fetches = |m: &Start| {
-            m.piece.job == s.piece.job
+            m.task.job == s.task.job
                 && m.attempt == s.attempt
                 && m.image_s.is_some_and(|later| later > soon + patience)
                 && m.seen.is_none_or(|x| x.phase == TaskPhase::Fetching)
@@ -94,7 +94,7 @@
             if s.ended() {
                 if self.may_clear(s) {
                     orders.push(Order::Clear {
-                        piece: s.piece.clone(),
+                        task: s.task.clone(),
                         attempt: s.attempt,
                     });
                 }
@@ -105,7 +105,7 @@
                 && !matches!(s.direct, DirectCarrier::InFlight(_))
             {
                 orders.push(Order::Launch {
-                    piece: s.piece.clone(),
+                    task: s.task.clone(),
                     attempt: s.attempt,
                 });
                 launched.push(key.clone());
@@ -162,7 +162,7 @@
                 }
             } else if self.wants_launch(m, s) && !s.in_flight() {
                 orders.push(Order::Launch {
-                    piece: s.piece.clone(),
+                    task: s.task.clone(),
                     attempt: s.attempt,
                 });
                 carried.push(key.clone());
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -69,8 +69,8 @@
     amount: Amount,
     class: String,
     spot: bool,
-    site: Option<Zone>,
-    rigs: Option<Vec<MachineType>>,
+    zone: Option<Zone>,
+    machine_types: Option<Vec<MachineType>>,
 }
 
 impl Need {
@@ -79,8 +79,8 @@
             amount: Amount::of(spec),
             class: spec.class.clone(),
             spot: spec.spot,
-            site: spec.site.clone(),
-            rigs: spec.rigs.clone(),
+            zone: spec.zone.clone(),
+            machine_types: spec.machine_types.clone(),
         }
     }
     /// Whether a task with this need is at least as hard to place as `o`.
@@ -88,8 +88,8 @@
         o.amount.fits(&self.amount)
             && self.class == o.class
             && (o.spot || !self.spot)
-            && (o.site.is_none() || o.site == self.site)
-            && (o.rigs.is_none() || o.rigs == self.rigs)
+            && (o.zone.is_none() || o.zone == self.zone)
+            && (o.machine_types.is_none() || o.machine_types == self.machine_types)
     }
 }
 
@@ -107,7 +107,7 @@
 
     /// One pass: places what fits and says what does not.
     pub(crate) fn place(&mut self, now: Millis) -> Vec<Unmet> {
-        if self.rigs.is_empty() {
+        if self.machine_types.is_empty() {
             return Vec::new();
         }
         let most_placed = MOST_PLACED.min(self.placement_budget.available(now) as usize);
@@ -230,7 +230,7 @@
             gpus: bound(team.gpus_max, used.gpus),
             ram_gb: f64::INFINITY,
         };
-        Amount::of(spec).count_in(&room, spec.pieces)
+        Amount::of(spec).count_in(&room, spec.tasks)
     }
 
     /// Whether a task of the job has run for long enough to say that the job can run.
@@ -240,7 +240,7 @@
             .filter_map(|h| self.machines.get(h))
             .flat_map(Machine::going);
         let mut since = starts
-            .filter(|s| s.piece.job == *id)
+            .filter(|s| s.task.job == *id)
             .filter_map(|s| s.running_since);
         since.any(|t| now - t > PROVEN)
     }
@@ -280,10 +280,10 @@
         if pass.cached && could == 0 {
             return 0;
         }
-        if could == 0 || (gang && could < spec.pieces) {
+        if could == 0 || (gang && could < spec.tasks) {
             // Guards against a large job that never finds its team's limit free, because smaller
             // jobs behind it take every bit that is given back: what it needs is kept for it.
-            let n = if gang { f64::from(spec.pieces) } else { 1.0 };
+            let n = if gang { f64::from(spec.tasks) } else { 1.0 };
             keep(pass, n);
             return 0;
         }
@@ -318,7 +318,7 @@
         if plan.is_empty() {
             // Whether there is room depends on the job itself only if it avoids machines, or must
             // spread or stay together.
-            if job.failed_on.is_empty() && !spec.scatter && (!gang || spec.pieces == 1) {
+            if job.failed_on.is_empty() && !spec.scatter && (!gang || spec.tasks == 1) {
                 pass.full.push(need);
             }
             self.hold_for(now, &spec, gang, aged, pass);
@@ -334,27 +334,27 @@
         }
         let latency = self.graph.label(id) == Label::Latency;
         for (index, host) in plan {
-            let piece = TaskId {
+            let task = TaskId {
                 job: id.clone(),
                 index,
             };
-            tracing::debug!(piece = %piece, host = %host, "placed");
+            tracing::debug!(task = %task, host = %host, "placed");
             if let Some(m) = self.machines.get_mut(&host) {
                 m.idle_since = None;
                 if m.kept_for.as_ref().is_some_and(|(j, _)| j == id) {
                     m.kept_for = None;
                 }
             }
-            let mut start = self.new_start(&host, piece.clone(), pass.attempt, now);
-            let several = gang && spec.pieces > 1;
+            let mut start = self.new_start(&host, task.clone(), pass.attempt, now);
+            let several = gang && spec.tasks > 1;
             let m = self.machines.get(&host).filter(|_| several);
             start.image_s = m.map(|m| self.wait_for_image(now, m, &spec));
             start.latency = latency;
             self.put_start(&host, start);
-            self.add_place(&host, &piece);
+            self.add_place(&host, &task);
             self.writer
                 .intents
-                .wait(StartKey::new(&host, &(piece, pass.attempt)));
+                .wait(StartKey::new(&host, &(task, pass.attempt)));
             keep(pass, 1.0);
         }
         left
@@ -368,26 +368,26 @@
         job: &Job,
         pass: &Pass,
     ) -> Vec<Option<Zone>> {
-        if let Some(site) = &spec.site {
-            return vec![Some(site.clone())];
+        if let Some(zone) = &spec.zone {
+            return vec![Some(zone.clone())];
         }
-        if !spec.together || spec.pieces == 1 {
+        if !spec.together || spec.tasks == 1 {
             return vec![None];
         }
-        if let Some(site) = self.zones_of(job).into_keys().next() {
-            return vec![Some(site)];
+        if let Some(zone) = self.zones_of(job).into_keys().next() {
+            return vec![Some(zone)];
         }
         let mut fit: BTreeMap<Zone, u32> = BTreeMap::new();
         let need = Amount::of(spec);
         for m in self.with_room_for(spec) {
             if self.usable(m, now) && Self::allows(spec, m) && !pass.kept.contains(&m.id) {
-                let n = need.count_in(&m.free, spec.pieces);
-                *fit.entry(m.site.clone()).or_default() += n;
+                let n = need.count_in(&m.free, spec.tasks);
+                *fit.entry(m.zone.clone()).or_default() += n;
             }
         }
-        let mut sites: Vec<(u32, Zone)> = fit.into_iter().map(|(s, n)| (n, s)).collect();
-        sites.sort_by(|a, b| b.cmp(a));
-        sites.into_iter().map(|(_, s)| Some(s)).collect()
+        let mut zones: Vec<(u32, Zone)> = fit.into_iter().map(|(s, n)| (n, s)).collect();
+        zones.sort_by(|a, b| b.cmp(a));
+        zones.into_iter().map(|(_, s)| Some(s)).collect()
     }
 
     /// How many tasks of the job may be in each zone, lingering ones included.
@@ -395,7 +395,7 @@
         let mut zones = BTreeMap::new();
         for host in job.places.values().flatten() {
             if let Some(m) = self.machines.get(host) {
-                *zones.entry(m.site.clone()).or_default() += 1;
+                *zones.entry(m.zone.clone()).or_default() += 1;
             }
         }
         zones
@@ -404,7 +404,10 @@
     /// Whether the job's own constraints allow this kind of machine.
     pub(crate) fn allows(spec: &JobSpec, m: &Machine) -> bool {
         (spec.spot || !m.spot)
-            && spec.site.as_ref().is_none_or(|s| *s == m.site)
-            && spec.rigs.as_ref().is_none_or(|r| r.contains(&m.rig))
+            && spec.zone.as_ref().is_none_or(|s| *s == m.zone)
+            && spec
+                .machine_types
+                .as_ref()
+                .is_none_or(|r| r.contains(&m.machine_type))
     }
 }
--- a/src/coordination/preemption.rs
+++ b/src/coordination/preemption.rs
@@ -212,7 +212,7 @@
         let waited = (now - job.ready).secs();
         let need = Amount::of(spec);
         let rental = self
-            .rigs
+            .machine_types
             .values()
             .filter(|r| need.fits(&self.capacity(&r.name)))
             .map(|r| r.boot_s)
@@ -232,7 +232,7 @@
         let need = Amount::of(spec);
         let free_to_use = self.usable(m, now)
             && Self::allows(spec, m)
-            && need.fits(&self.capacity(&m.rig))
+            && need.fits(&self.capacity(&m.machine_type))
             && self.reserved.get(&m.id).is_none_or(|c| *c == spec.class)
             && m.kept_for.as_ref().is_none_or(|(_, t)| now >= *t);
         if !free_to_use {
@@ -243,11 +243,11 @@
             .values()
             .filter(|s| !s.ended())
             .filter_map(|s| {
-                let other = self.jobs.get(&s.piece.job)?;
-                let may = s.stop.is_none() && self.may_stop(job, id, other, &s.piece.job, inside);
+                let other = self.jobs.get(&s.task.job)?;
+                let may = s.stop.is_none() && self.may_stop(job, id, other, &s.task.job, inside);
                 // All of a gang goes down with its member.
                 let members = if other.stands_together() {
-                    f64::from(other.spec.pieces)
+                    f64::from(other.spec.tasks)
                 } else {
                     1.0
                 };
@@ -274,7 +274,7 @@
             }
             room.add(&s.need);
             cost_s += cost;
-            chosen.push((s.piece.clone(), s.attempt, grace));
+            chosen.push((s.task.clone(), s.attempt, grace));
         }
         (need.fits(&room) && !chosen.is_empty()).then(|| Eviction {
             cost_s,
@@ -321,8 +321,8 @@
             return;
         };
         m.kept_for = Some((id.clone(), now + KEPT));
-        for (piece, attempt, grace_s) in eviction.victims {
-            if let Some(s) = m.starts.get_mut(&(piece, attempt)) {
+        for (task, attempt, grace_s) in eviction.victims {
+            if let Some(s) = m.starts.get_mut(&(task, attempt)) {
                 s.stop = Some(StopRequest {
                     grace_s,
                     sent_direct: false,
--- a/src/coordination/recovery.rs
+++ b/src/coordination/recovery.rs
@@ -28,7 +28,7 @@
     pub progress: Vec<Item>,
     pub intents: Vec<Item>,
     pub hosts: Vec<Item>,
-    pub rigs: Vec<MachineTypeInfo>,
+    pub machine_types: Vec<MachineTypeInfo>,
     pub hints: Option<Item>,
     /// The time of day at the steady clock's zero, in milliseconds.
     pub day_ms: u64,
@@ -67,7 +67,7 @@
             lead,
             day_ms: found.day_ms,
             began: now,
-            rigs: BTreeMap::new(),
+            machine_types: BTreeMap::new(),
             jobs: BTreeMap::new(),
             graph: Graph::default(),
             mark_reads: MarkReads::default(),
@@ -98,8 +98,8 @@
             standby_missing: Vec::new(),
             image_room: BTreeMap::new(),
         };
-        core.rigs = found
-            .rigs
+        core.machine_types = found
+            .machine_types
             .into_iter()
             .map(|r| (r.name.clone(), r))
             .collect();
@@ -186,7 +186,7 @@
             if !hosts.contains(&id) {
                 continue;
             }
-            let Some((rig, site, spot)) = record.kinds.get(note.0).cloned() else {
+            let Some((machine_type, zone, spot)) = record.kinds.get(note.0).cloned() else {
                 return Err(Unreadable {
                     key: item.key.clone(),
                     why: format!("{id} is of no kind that the page names"),
@@ -198,10 +198,10 @@
             }
             let mut m = Machine::new(
                 id.clone(),
-                rig.clone(),
-                site,
+                machine_type.clone(),
+                zone,
                 spot,
-                self.capacity(&rig),
+                self.capacity(&machine_type),
                 since,
             );
             m.answered = now;
@@ -228,7 +228,7 @@
         };
         let record: IntentsPage = read(item)?;
         self.writer.intents.found(page, item.stamp);
-        for (host, piece, attempt) in record.starts() {
+        for (host, task, attempt) in record.starts() {
             let Some(m) = self.machines.get_mut(&host) else {
                 // Proof 4, on record: a start is written only once its machine's page is, and a
                 // machine leaves its page only once the cloud has confirmed that it is gone.
@@ -237,22 +237,22 @@
             };
             // It had been given work: its worker has reported.
             m.state = MachineState::Up;
-            let key = (piece.clone(), attempt);
+            let key = (task.clone(), attempt);
             let known = self.machines.get(&host);
             if known.is_some_and(|m| m.starts.contains_key(&key)) {
                 continue;
             }
             let placed = record.placed_s.get(&attempt);
             let since = placed.map_or(now, |s| self.on_steady_clock(*s).min(now));
-            let mut s = self.new_start(&host, piece.clone(), attempt, since);
-            if let Some(takes) = record.jobs.get(&piece.job) {
+            let mut s = self.new_start(&host, task.clone(), attempt, since);
+            if let Some(takes) = record.jobs.get(&task.job) {
                 s.need = takes.amount();
                 s.team = self.policy.team_no(&takes.0);
             }
             s.page = Some(page);
             s.inherited = true;
             self.put_start(&host, s);
-            self.add_place(&host, &piece);
+            self.add_place(&host, &task);
             self.writer.intents.holds(page, StartKey::new(&host, &key));
         }
         Ok(())
--- a/src/coordination/reservations.rs
+++ b/src/coordination/reservations.rs
@@ -22,7 +22,7 @@
             .filter(|h| !pass.kept.contains(*h))
             .filter_map(|h| self.machines.get(h))
             .filter(|m| Self::allows(spec, m) && self.usable(m, now))
-            .map(|m| (m, self.capacity(&m.rig)))
+            .map(|m| (m, self.capacity(&m.machine_type)))
             .filter(|(_, whole)| need.fits(whole))
             .map(|(m, whole)| (emptiness(&m.free, &whole), &m.id))
             .max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
@@ -40,12 +40,12 @@
         aged: bool,
         pass: &mut Pass,
     ) {
-        let several = gang && spec.pieces > 1;
+        let several = gang && spec.tasks > 1;
         if several && (aged || self.bulk(spec)) {
             self.hold_machines(now, spec, pass);
         }
         if (several && aged) || (self.bulk(spec) && (aged || !self.may_rent(now, spec))) {
-            let n = if several { spec.pieces } else { 1 };
+            let n = if several { spec.tasks } else { 1 };
             for _ in 0..n {
                 self.keep_a_machine(now, spec, pass);
             }
@@ -65,12 +65,12 @@
         {
             let free = need.fits(&m.free) && Self::allows(spec, m) && self.usable(m, now);
             if free && !pass.kept.contains(&m.id) {
-                let zone = spec.together.then_some(&m.site);
+                let zone = spec.together.then_some(&m.zone);
                 fit.entry(zone).or_default().push(&m.id);
             }
         }
         let most = fit.into_values().max_by_key(Vec::len).unwrap_or_default();
-        for host in most.into_iter().take(spec.pieces as usize) {
+        for host in most.into_iter().take(spec.tasks as usize) {
             pass.kept.insert(host.clone());
         }
     }
--- a/src/coordination/standby.rs
+++ b/src/coordination/standby.rs
@@ -21,9 +21,13 @@
             };
             let need = Amount::of(spec);
             let soonest = self
-                .rigs
+                .machine_types
                 .values()
-                .filter(|r| spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name)))
+                .filter(|r| {
+                    spec.machine_types
+                        .as_ref()
+                        .is_none_or(|a| a.contains(&r.name))
+                })
                 .filter(|r| need.fits(&self.capacity(&r.name)))
                 .map(|r| r.boot_s + spec.image_gb / r.fetch_gb_per_s.max(0.01))
                 .fold(f64::INFINITY, f64::min);
--- a/src/coordination/starts.rs
+++ b/src/coordination/starts.rs
@@ -87,8 +87,8 @@
             return;
         };
         let (need, team, on) = (start.need, start.team, !start.ended());
-        let (job, runs) = (start.piece.job.clone(), start.runs());
-        let key = (start.piece.clone(), start.attempt);
+        let (job, runs) = (start.task.job.clone(), start.runs());
+        let key = (start.task.clone(), start.attempt);
         if on {
             Self::charge_machine(m, &need, true);
         }
@@ -219,7 +219,7 @@
 
     /// What kind of room a machine has.
     fn room_on(&self, m: &Machine) -> Room {
-        let whole = self.capacity(&m.rig);
+        let whole = self.capacity(&m.machine_type);
         let some = |free: f64, whole: f64| whole <= 0.0 || free > 1e-6;
         if m.state != MachineState::Up || !some(m.free.cpus, whole.cpus) {
             Room::None
@@ -245,7 +245,7 @@
             let Some(m) = self.machines.get(&host) else {
                 continue;
             };
-            let free = Self::room_left(m, self.capacity(&m.rig));
+            let free = Self::room_left(m, self.capacity(&m.machine_type));
             if let Some(m) = self.machines.get_mut(&host) {
                 m.free = free;
             }
@@ -270,7 +270,7 @@
         let mut spacious = BTreeSet::new();
         let mut cpus_left = BTreeSet::new();
         for m in self.machines.values() {
-            let free = Self::room_left(m, self.capacity(&m.rig));
+            let free = Self::room_left(m, self.capacity(&m.machine_type));
             if !near(&free, &m.free) || m.live as usize != m.going().count() {
                 return Err(format!("{}: free {:?}, counted {free:?}", m.id, m.free));
             }
@@ -301,14 +301,14 @@
         };
         for (id, j) in &self.jobs {
             let starts = || {
-                let of = |m: &'_ Machine| m.starts.values().filter(|s| s.piece.job == *id).count();
+                let of = |m: &'_ Machine| m.starts.values().filter(|s| s.task.job == *id).count();
                 self.machines.values().map(of).sum::<usize>()
             };
             let runs = self
                 .machines
                 .values()
                 .flat_map(|m| m.starts.values())
-                .filter(|s| s.piece.job == *id && s.runs())
+                .filter(|s| s.task.job == *id && s.runs())
                 .count();
             if j.listed as usize != starts() || j.running as usize != runs {
                 return Err(format!("{id}: {} starts, {} run", j.listed, j.running));
@@ -345,14 +345,17 @@
     pub(crate) fn new_start(
         &self,
         host: &HostId,
-        piece: TaskId,
+        task: TaskId,
         attempt: Attempt,
         now: Millis,
     ) -> Start {
         // Something of which we know nothing may take everything.
-        let whole = self.machines.get(host).map(|m| self.capacity(&m.rig));
-        let job = self.jobs.get(&piece.job);
-        Start::planned(piece, attempt, job, whole.unwrap_or_default(), now)
+        let whole = self
+            .machines
+            .get(host)
+            .map(|m| self.capacity(&m.machine_type));
+        let job = self.jobs.get(&task.job);
+        Start::planned(task, attempt, job, whole.unwrap_or_default(), now)
     }
 
     /// The team of a job, by its number in the settings.
--- a/src/coordination/stops.rs
+++ b/src/coordination/stops.rs
@@ -94,7 +94,7 @@
                 continue;
             }
             let hosts: BTreeSet<HostId> = job.places.values().flatten().cloned().collect();
-            let stops = |m: &Machine| m.going().any(|s| s.piece.job == id && s.stop.is_some());
+            let stops = |m: &Machine| m.going().any(|s| s.task.job == id && s.stop.is_some());
             let stopping = hosts
                 .iter()
                 .any(|h| self.machines.get(h).is_some_and(stops));
@@ -107,7 +107,7 @@
             let fetches = |m: &Machine| {
                 m.going().any(|s| {
                     let seen = s.seen.map(|x| x.phase);
-                    s.piece.job == id && seen == Some(TaskPhase::Fetching)
+                    s.task.job == id && seen == Some(TaskPhase::Fetching)
                 })
             };
             let fetching = hosts
@@ -131,7 +131,7 @@
                     m.kept_for = Some((id.clone(), now + lease));
                 }
                 for s in m.starts.values_mut() {
-                    if s.piece.job == id && !s.ended() && s.stop.is_none() {
+                    if s.task.job == id && !s.ended() && s.stop.is_none() {
                         s.stop = Some(StopRequest {
                             grace_s,
                             sent_direct: false,
@@ -167,7 +167,7 @@
             None => wish.grace_s,
         };
         Some(Order::Stop {
-            piece: s.piece.clone(),
+            task: s.task.clone(),
             attempt: s.attempt,
             grace_s,
         })
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -146,10 +146,10 @@
     fn take_report(&mut self, now: Millis, r: &Report, channel: ReportChannel) -> bool {
         let host = &r.host;
         if !self.machines.contains_key(host) {
-            tracing::info!(host = %r.host, rig = %r.rig, "a machine reports that was not known");
+            tracing::info!(host = %r.host, machine_type = %r.machine_type, "a machine reports that was not known");
             // Not verified: this may be a late copy of a report of a machine long returned. It is
             // given work once it has shown our token.
-            self.enter_machine(now, host, &r.rig, &r.site, r.spot, now, false);
+            self.enter_machine(now, host, &r.machine_type, &r.zone, r.spot, now, false);
         }
         let first = self.lead.first;
         let Some(m) = self.machines.get_mut(host) else {
@@ -205,7 +205,7 @@
             self.dirty = true;
             self.index_machine(host);
         }
-        for p in &r.pieces {
+        for p in &r.tasks {
             self.see(now, host, p, r, confirmed);
         }
         self.see_absent(now, r, channel, ended_session, confirmed);
@@ -214,7 +214,7 @@
 
     /// A start that a report lists.
     fn see(&mut self, now: Millis, host: &HostId, p: &TaskReport, r: &Report, confirmed: bool) {
-        let key = (p.piece.clone(), p.attempt);
+        let key = (p.task.clone(), p.attempt);
         let Some(m) = self.machines.get_mut(host) else {
             return;
         };
@@ -225,11 +225,11 @@
                 return;
             }
             // Listed but not in our ledger: a tombstone, for its intent needn't be kept.
-            let mut s = self.new_start(host, p.piece.clone(), p.attempt, now);
+            let mut s = self.new_start(host, p.task.clone(), p.attempt, now);
             s.inherited = true;
             self.put_start(host, s);
             if p.phase != TaskPhase::Ended {
-                self.add_place(host, &p.piece);
+                self.add_place(host, &p.task);
             }
         }
         let Some(m) = self.machines.get_mut(host) else {
@@ -273,15 +273,15 @@
         let was = before.map(|b| b.phase);
         if p.phase == TaskPhase::Waiting && was != Some(TaskPhase::Waiting) {
             // It has its image; members that had theirs at once may be launched now.
-            self.note_image(now, host, &p.piece.job);
-            if let Some(job) = self.jobs.get(&p.piece.job) {
+            self.note_image(now, host, &p.task.job);
+            if let Some(job) = self.jobs.get(&p.task.job) {
                 self.direct_due
                     .extend(job.places.values().flatten().cloned());
             }
         }
         if p.phase == TaskPhase::Running && was != Some(TaskPhase::Running) {
-            tracing::debug!(piece = %p.piece, host = %host, "runs");
-            self.note_image(now, host, &p.piece.job);
+            tracing::debug!(task = %p.task, host = %host, "runs");
+            self.note_image(now, host, &p.task.job);
         }
         if p.phase == TaskPhase::Ended && was != Some(TaskPhase::Ended) {
             self.ended(now, host, &key, p.cause.unwrap_or(Cause::Error));
@@ -293,7 +293,10 @@
             return;
         };
         let new = !m.has_image(&job.spec.image);
-        let cache = self.rigs.get(&m.rig).map_or(0.0, |r| r.cache_gb);
+        let cache = self
+            .machine_types
+            .get(&m.machine_type)
+            .map_or(0.0, |r| r.cache_gb);
         m.use_image(&job.spec.image, job.spec.image_gb, cache);
         if let Some(page) = m.page.filter(|_| new) {
             self.writer.hosts.changed(now, page);
@@ -388,7 +391,7 @@
         let over: Vec<(HostId, (TaskId, Attempt))> = quiet
             .flat_map(|m| {
                 let gone = |s: &&Start| now - m.lease_from(s).max(self.began) > lease_over;
-                let key = |s: &Start| (m.id.clone(), (s.piece.clone(), s.attempt));
+                let key = |s: &Start| (m.id.clone(), (s.task.clone(), s.attempt));
                 m.starts.values().filter(gone).map(key)
             })
             .collect();
@@ -396,7 +399,7 @@
             // Proof 3: no entitled controller has answered it for longer than its lease, and the
             // session that the start belongs to is older than that too. Starts that were never
             // launched stay planned no longer either.
-            tracing::info!(host = %host, piece = %key.0, "lease over: the task is gone");
+            tracing::info!(host = %host, task = %key.0, "lease over: the task is gone");
             self.remove_start(now, &host, &key);
         }
         let patience = self.policy.silence();
--- a/src/coordination/worker_sessions/places.rs
+++ b/src/coordination/worker_sessions/places.rs
@@ -13,44 +13,44 @@
         self.machines.get_mut(host)?.starts.get_mut(key)
     }
 
-    pub(crate) fn add_place(&mut self, host: &HostId, piece: &TaskId) {
-        if let Some(job) = self.jobs.get_mut(&piece.job) {
-            let places = job.places.entry(piece.index).or_default();
+    pub(crate) fn add_place(&mut self, host: &HostId, task: &TaskId) {
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let places = job.places.entry(task.index).or_default();
             if !places.contains(host) {
                 places.push(host.clone());
             }
-            job.pending.remove(&piece.index);
-            self.index_job(&piece.job);
+            job.pending.remove(&task.index);
+            self.index_job(&task.job);
         }
     }
 
-    /// The piece no longer is on that machine (ended there, or proven gone).
-    pub(super) fn drop_place(&mut self, host: &HostId, piece: &TaskId) {
+    /// The task is no longer on that machine (ended there, or proven gone).
+    pub(super) fn drop_place(&mut self, host: &HostId, task: &TaskId) {
         // Another try of the same task may be on this machine.
         let still = self.machines.get(host).is_some_and(|m| {
-            let tries = (piece.clone(), Attempt(0))..=(piece.clone(), Attempt(u64::MAX));
+            let tries = (task.clone(), Attempt(0))..=(task.clone(), Attempt(u64::MAX));
             m.starts.range(tries).any(|(_, s)| !s.ended())
         });
         self.dirty = true;
-        let Some(job) = self.jobs.get_mut(&piece.job) else {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         if still {
             return;
         }
-        if let Some(places) = job.places.get_mut(&piece.index) {
+        if let Some(places) = job.places.get_mut(&task.index) {
             places.retain(|h| h != host);
             if places.is_empty() {
-                job.places.remove(&piece.index);
+                job.places.remove(&task.index);
             }
         }
-        if job.wants(piece.index) && !job.places.contains_key(&piece.index) {
-            job.pending.insert(piece.index);
+        if job.wants(task.index) && !job.places.contains_key(&task.index) {
+            job.pending.insert(task.index);
         }
         if job.stands_together() {
-            self.gangs_due.insert(piece.job.clone());
+            self.gangs_due.insert(task.job.clone());
         }
-        self.index_job(&piece.job);
+        self.index_job(&task.job);
     }
 
     /// A start is proven gone. Callers name the proof.
@@ -60,7 +60,7 @@
         };
         self.note_idle(now, host);
         if !s.ended() {
-            tracing::debug!(piece = %key.0, host = %host, "proven gone");
+            tracing::debug!(task = %key.0, host = %host, "proven gone");
             self.drop_place(host, &key.0);
         }
     }
@@ -84,8 +84,8 @@
         let keys: Vec<_> = m
             .starts
             .values()
-            .filter(|s| s.piece.job == *job && s.untouched())
-            .map(|s| (s.piece.clone(), s.attempt))
+            .filter(|s| s.task.job == *job && s.untouched())
+            .map(|s| (s.task.clone(), s.attempt))
             .collect();
         for key in keys {
             // Proof: never launched. If its intent is being written, that only errs on the safe side.
--- a/src/coordination/worker_sessions/task_ends.rs
+++ b/src/coordination/worker_sessions/task_ends.rs
@@ -16,27 +16,27 @@
         key: &(TaskId, Attempt),
         cause: Cause,
     ) {
-        let (piece, _) = key;
+        let (task, _) = key;
         let lease = Millis::from_secs(self.policy.facts.workers.lease_s);
-        tracing::debug!(piece = %piece, host = %host, cause = ?cause, "ended");
+        tracing::debug!(task = %task, host = %host, cause = ?cause, "ended");
         self.note_idle(now, host);
         if cause == Cause::Done {
             self.note_run_time(now, host, key);
-            if let Some(job) = self.jobs.get_mut(&piece.job) {
-                if piece.index < job.spec.pieces && !job.over && job.done.add(piece.index) {
-                    job.unsaved.insert(piece.index);
-                    job.pending.remove(&piece.index);
+            if let Some(job) = self.jobs.get_mut(&task.job) {
+                if task.index < job.spec.tasks && !job.over && job.done.add(task.index) {
+                    job.unsaved.insert(task.index);
+                    job.pending.remove(&task.index);
                 }
                 job.failures = 0;
             }
-            self.index_job(&piece.job);
+            self.index_job(&task.job);
             if let Some(m) = self.machines.get_mut(host) {
                 m.failed_jobs.clear();
             }
         }
-        self.drop_place(host, piece);
+        self.drop_place(host, task);
         match cause {
-            Cause::Error => self.failed(now, host, piece),
+            Cause::Error => self.failed(now, host, task),
             Cause::Full => {
                 if let Some(m) = self.machines.get_mut(host) {
                     m.full_until = now + Millis(3000);
@@ -44,7 +44,7 @@
             }
             Cause::Unknown => {
                 // The description isn't there yet; try again a little later.
-                if let Some(job) = self.jobs.get_mut(&piece.job) {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.not_before = job.not_before.max(now + Millis(2000));
                 }
             }
@@ -58,9 +58,9 @@
             Cause::Incomplete => {
                 // Its image is there: the machine is kept for when the others have theirs.
                 if let Some(m) = self.machines.get_mut(host) {
-                    m.kept_for = Some((piece.job.clone(), now + lease));
+                    m.kept_for = Some((task.job.clone(), now + lease));
                 }
-                if let Some(job) = self.jobs.get_mut(&piece.job) {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
                     job.incomplete = true;
                 }
             }
@@ -69,9 +69,9 @@
     }
 
     /// A task failed: mostly the machine is faulty, but a job may be.
-    pub(super) fn failed(&mut self, now: Millis, host: &HostId, piece: &TaskId) {
+    pub(super) fn failed(&mut self, now: Millis, host: &HostId, task: &TaskId) {
         let most = self.policy.operator.sick_errors as usize;
-        let Some(job) = self.jobs.get_mut(&piece.job) else {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
         job.failures += 1;
@@ -88,14 +88,14 @@
             // of the first machines that it failed on are taken back.
             for host in &failed_on {
                 if let Some(m) = self.machines.get_mut(host) {
-                    m.forget_failures_of(&piece.job, most);
+                    m.forget_failures_of(&task.job, most);
                 }
                 self.index_machine(host);
             }
         }
         if let Some(m) = self.machines.get_mut(host) {
             if !mistaken {
-                m.failed_jobs.insert(piece.job.clone());
+                m.failed_jobs.insert(task.job.clone());
             }
             m.full_until = now + Millis(2000);
             if m.failed_jobs.len() >= most && !m.drain {
--- a/src/coordination/writer/ends.rs
+++ b/src/coordination/writer/ends.rs
@@ -40,7 +40,7 @@
     ) -> bool {
         let mark = FinalRecord {
             phase: JobPhase::Done,
-            pieces: job.spec.pieces,
+            tasks: job.spec.tasks,
             at_ms: self
                 .graph
                 .has_consumers(id)
@@ -52,7 +52,7 @@
     /// Jobs that need a cancelled one, directly or through others.
     pub(super) fn draft_cancellations(&self, draft: &mut Draft) {
         for (id, job) in self.jobs_in(&self.indexes.ancestor_cancelled) {
-            let mark = FinalRecord::cancelled(job.spec.pieces);
+            let mark = FinalRecord::cancelled(job.spec.tasks);
             if !draft.close(id, job.stamp, &mark, Work::Cancel { job: id.clone() }) {
                 return;
             }
--- a/src/coordination/writer/launches.rs
+++ b/src/coordination/writer/launches.rs
@@ -13,7 +13,7 @@
     /// Whether a start is planned and not yet written.
     pub(super) fn unwritten(&self, key: &StartKey) -> bool {
         let m = self.machines.get(&key.host);
-        let start = m.and_then(|m| m.starts.get(&(key.piece.clone(), key.attempt)));
+        let start = m.and_then(|m| m.starts.get(&(key.task.clone(), key.attempt)));
         start.is_some_and(|s| s.page.is_none() && s.untouched())
     }
 
@@ -50,7 +50,7 @@
             let mut jobs: BTreeSet<JobId> = BTreeSet::new();
             let before = keys.len();
             while let Some(k) = waiting.peek() {
-                let id = &k.piece.job;
+                let id = &k.task.job;
                 let noted = self.machines.get(&k.host).is_some_and(|m| m.noted);
                 let Some(job) = self.jobs.get(id).filter(|j| !j.over && noted) else {
                     // Its machine's page comes first; its job is over: it is dropped elsewhere.
@@ -87,7 +87,7 @@
     pub(super) fn measure(&self, keys: &[StartKey]) -> Measure {
         let mut size = Measure::default();
         for k in keys {
-            let team = self.jobs.get(&k.piece.job).map(|j| j.spec.team.as_str());
+            let team = self.jobs.get(&k.task.job).map(|j| j.spec.team.as_str());
             size.add(k, team.unwrap_or_default());
         }
         size
@@ -96,13 +96,13 @@
     pub(super) fn intents_page(&self, keys: &[StartKey]) -> serde_json::Value {
         let mut page = IntentsPage::default();
         for k in keys {
-            page.add(&k.host, &k.piece, k.attempt);
+            page.add(&k.host, &k.task, k.attempt);
             if let Some(since) = self.placed_at(k) {
                 let placed_s = self.day_ms.saturating_add_signed(since.0) / 1000;
                 page.placed_s.entry(k.attempt).or_insert(placed_s);
             }
-            if !page.jobs.contains_key(&k.piece.job) {
-                page.jobs.insert(k.piece.job.clone(), self.takes(k));
+            if !page.jobs.contains_key(&k.task.job) {
+                page.jobs.insert(k.task.job.clone(), self.takes(k));
             }
         }
         serde_json::to_value(&page).unwrap_or_default()
@@ -111,17 +111,17 @@
     /// When a start that is on a page was placed.
     pub(super) fn placed_at(&self, key: &StartKey) -> Option<Millis> {
         let machine = self.machines.get(&key.host)?;
-        let start = machine.starts.get(&(key.piece.clone(), key.attempt))?;
+        let start = machine.starts.get(&(key.task.clone(), key.attempt))?;
         Some(start.since)
     }
 
     /// What a start's job takes: from the job, or, if that is over and forgotten, from the start.
     pub(super) fn takes(&self, k: &StartKey) -> JobTakes {
-        if let Some(j) = self.jobs.get(&k.piece.job) {
+        if let Some(j) = self.jobs.get(&k.task.job) {
             return JobTakes::of(&j.spec);
         }
         let m = self.machines.get(&k.host);
-        let s = m.and_then(|m| m.starts.get(&(k.piece.clone(), k.attempt)));
+        let s = m.and_then(|m| m.starts.get(&(k.task.clone(), k.attempt)));
         let team = self.policy.team(s.and_then(|s| s.team));
         let need = s.map(|s| s.need).unwrap_or_default();
         JobTakes(
--- a/src/coordination/writer/machine_pages.rs
+++ b/src/coordination/writer/machine_pages.rs
@@ -48,7 +48,7 @@
         let mut kinds: BTreeMap<(MachineType, Zone, bool), usize> = BTreeMap::new();
         let mut images: BTreeMap<Image, usize> = BTreeMap::new();
         for m in hosts.iter().filter_map(|h| self.machines.get(h)) {
-            let kind = (m.rig.clone(), m.site.clone(), m.spot);
+            let kind = (m.machine_type.clone(), m.zone.clone(), m.spot);
             let kind = *kinds.entry(kind.clone()).or_insert_with(|| {
                 page.kinds.push(kind);
                 page.kinds.len() - 1
--- a/src/coordination/writer/outcomes.rs
+++ b/src/coordination/writer/outcomes.rs
@@ -90,7 +90,7 @@
         let mut gone = false;
         for k in keys {
             let m = self.machines.get_mut(&k.host);
-            let start = m.and_then(|m| m.starts.get_mut(&(k.piece.clone(), k.attempt)));
+            let start = m.and_then(|m| m.starts.get_mut(&(k.task.clone(), k.attempt)));
             match start.filter(|s| !s.ended()) {
                 Some(s) => {
                     if s.page.is_none() {
--- a/src/protocol/cloud.rs
+++ b/src/protocol/cloud.rs
@@ -23,21 +23,25 @@
     pub spot_price: f64,
     #[serde(rename = "bootS", default)]
     pub boot_s: f64,
-    pub sites: Vec<Zone>,
+    #[serde(rename = "sites")]
+    pub zones: Vec<Zone>,
 }
 
 /// The answer of `GET /machine_types`; also kept under one key on the state service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MachineTypeList {
-    pub rigs: Vec<MachineTypeInfo>,
+    #[serde(rename = "rigs")]
+    pub machine_types: Vec<MachineTypeInfo>,
 }
 
 /// A request to rent; `hire` is never reused for anything else.
 #[derive(Clone, Debug, Serialize)]
 pub struct RentRequest {
     pub hire: String,
-    pub rig: MachineType,
-    pub site: Zone,
+    #[serde(rename = "rig")]
+    pub machine_type: MachineType,
+    #[serde(rename = "site")]
+    pub zone: Zone,
     #[serde(rename = "loaners")]
     pub spot: bool,
     #[serde(rename = "number")]
@@ -73,8 +77,10 @@
     pub id: HostId,
     #[serde(default)]
     pub endpoint: String,
-    pub rig: MachineType,
-    pub site: Zone,
+    #[serde(rename = "rig")]
+    pub machine_type: MachineType,
+    #[serde(rename = "site")]
+    pub zone: Zone,
     #[serde(rename = "loaners", default)]
     pub spot: bool,
     pub phase: CloudPhase,
--- a/src/protocol/users.rs
+++ b/src/protocol/users.rs
@@ -39,7 +39,8 @@
     pub team: String,
     pub shape: Shape,
     pub urgency: Urgency,
-    pub pieces: u32,
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
     pub cpus: f64,
     pub gpus: f64,
     #[serde(rename = "ramGb")]
@@ -48,10 +49,10 @@
     pub image: Image,
     #[serde(rename = "pullGb")]
     pub image_gb: f64,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub rigs: Option<Vec<MachineType>>,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub site: Option<Zone>,
+    #[serde(rename = "rigs", default, skip_serializing_if = "Option::is_none")]
+    pub machine_types: Option<Vec<MachineType>>,
+    #[serde(rename = "site", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<Zone>,
     pub together: bool,
     pub scatter: bool,
     #[serde(rename = "loaners")]
@@ -87,7 +88,7 @@
 }
 
 /// The most tasks a job may have.
-pub const MAX_PIECES: u32 = 100_000;
+pub const MAX_TASKS: u32 = 100_000;
 
 /// Reads a submission, saying what is wrong with a bad one.
 pub fn parse_submission(body: &[u8]) -> Result<Submission, Malformed> {
@@ -112,8 +113,8 @@
     if id.is_none() {
         return Err(fail("ref: not a job id".into()));
     }
-    if spec.pieces == 0 || spec.pieces > MAX_PIECES {
-        return Err(fail(format!("pieces: must be 1 to {MAX_PIECES}")));
+    if spec.tasks == 0 || spec.tasks > MAX_TASKS {
+        return Err(fail(format!("pieces: must be 1 to {MAX_TASKS}")));
     }
     for (name, v) in [
         ("cpus", Some(spec.cpus)),
--- a/src/protocol/workers.rs
+++ b/src/protocol/workers.rs
@@ -8,8 +8,10 @@
 pub struct Report {
     pub host: HostId,
     pub endpoint: String,
-    pub rig: MachineType,
-    pub site: Zone,
+    #[serde(rename = "rig")]
+    pub machine_type: MachineType,
+    #[serde(rename = "site")]
+    pub zone: Zone,
     #[serde(rename = "loaners", default)]
     pub spot: bool,
     #[serde(rename = "tenure")]
@@ -19,14 +21,15 @@
     pub token: Token,
     #[serde(rename = "recallS", default)]
     pub recall_s: Option<f64>,
-    #[serde(default)]
-    pub pieces: Vec<TaskReport>,
+    #[serde(rename = "pieces", default)]
+    pub tasks: Vec<TaskReport>,
 }
 
 /// One task on a machine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TaskReport {
-    pub piece: TaskId,
+    #[serde(rename = "piece")]
+    pub task: TaskId,
     #[serde(rename = "try")]
     pub attempt: Attempt,
     pub phase: TaskPhase,
@@ -73,19 +76,22 @@
 #[serde(tag = "verb", rename_all = "lowercase")]
 pub enum Order {
     Launch {
-        piece: TaskId,
+        #[serde(rename = "piece")]
+        task: TaskId,
         #[serde(rename = "try")]
         attempt: Attempt,
     },
     Stop {
-        piece: TaskId,
+        #[serde(rename = "piece")]
+        task: TaskId,
         #[serde(rename = "try")]
         attempt: Attempt,
         #[serde(rename = "windDownS")]
         grace_s: f64,
     },
     Clear {
-        piece: TaskId,
+        #[serde(rename = "piece")]
+        task: TaskId,
         #[serde(rename = "try")]
         attempt: Attempt,
     },
--- a/src/runtime/catalog.rs
+++ b/src/runtime/catalog.rs
@@ -18,7 +18,7 @@
 /// Keeps the machine types.
 pub async fn keep(node: Arc<Node>) {
     loop {
-        let known = !lock(&node.rigs).is_empty();
+        let known = !lock(&node.machine_types).is_empty();
         let leads = node.leader.leads(node.now());
         let mut pause = REFRESH;
         let found = if known && !leads {
@@ -32,16 +32,18 @@
             }
         };
         match found {
-            Some(rigs) => {
+            Some(machine_types) => {
                 if leads {
-                    node.leader.event(node.now(), Event::Rigs(rigs.clone()));
-                    if *lock(&node.rigs) != rigs || !known {
-                        store(&node, &rigs).await;
+                    node.leader
+                        .event(node.now(), Event::MachineTypes(machine_types.clone()));
+                    if *lock(&node.machine_types) != machine_types || !known {
+                        store(&node, &machine_types).await;
                     }
                 } else if !known {
-                    node.leader.event(node.now(), Event::Rigs(rigs.clone()));
+                    node.leader
+                        .event(node.now(), Event::MachineTypes(machine_types.clone()));
                 }
-                *lock(&node.rigs) = rigs;
+                *lock(&node.machine_types) = machine_types;
             }
             None if known => pause = Duration::from_secs(5),
             None => pause = Duration::from_millis(500 + rand::rng().random_range(0..500)),
@@ -56,7 +58,7 @@
 async fn from_state(node: &Node) -> Option<Vec<MachineTypeInfo>> {
     let item = node.state.get(CATALOG).await.ok()??;
     let list: MachineTypeList = serde_json::from_value(item.data).ok()?;
-    (!list.rigs.is_empty()).then_some(list.rigs)
+    (!list.machine_types.is_empty()).then_some(list.machine_types)
 }
 
 async fn from_cloud(node: &Node) -> Option<Vec<MachineTypeInfo>> {
@@ -71,12 +73,12 @@
         return None;
     }
     let list: MachineTypeList = serde_json::from_slice(&a.body).ok()?;
-    (!list.rigs.is_empty()).then_some(list.rigs)
+    (!list.machine_types.is_empty()).then_some(list.machine_types)
 }
 
-async fn store(node: &Node, rigs: &[MachineTypeInfo]) {
+async fn store(node: &Node, machine_types: &[MachineTypeInfo]) {
     let list = MachineTypeList {
-        rigs: rigs.to_vec(),
+        machine_types: machine_types.to_vec(),
     };
     let Ok(data) = serde_json::to_value(&list) else {
         return;
--- a/src/runtime/copy.rs
+++ b/src/runtime/copy.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenNote {
     pub stamp: Stamp,
-    pub pieces: u32,
+    pub tasks: u32,
     /// The jobs that it needs.
     pub after: Vec<JobId>,
 }
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OpenJob {
     pub stamp: Stamp,
-    pub pieces: u32,
+    pub tasks: u32,
     /// Ancestors that are no longer open: the finish marks of these say whether the job is cancelled
     /// with them.
     pub closed_ancestors: Vec<JobId>,
@@ -103,14 +103,14 @@
             let n = data.pointer("/spec/pieces").and_then(Value::as_u64);
             return Ok(Some(OpenNote {
                 stamp,
-                pieces: n.and_then(|n| u32::try_from(n).ok()).unwrap_or(1),
+                tasks: n.and_then(|n| u32::try_from(n).ok()).unwrap_or(1),
                 after: Vec::new(),
             }));
         };
         let open = edges::complete(node, &mut record).await?;
         Ok(open.then_some(OpenNote {
             stamp,
-            pieces: record.spec.pieces,
+            tasks: record.spec.tasks,
             after: record.after,
         }))
     }
@@ -181,7 +181,7 @@
         }
         Some(OpenJob {
             stamp: note.stamp,
-            pieces: note.pieces,
+            tasks: note.tasks,
             closed_ancestors,
         })
     }
--- a/src/runtime/effects.rs
+++ b/src/runtime/effects.rs
@@ -63,15 +63,15 @@
         }
         Effect::Rent {
             hire,
-            rig,
-            site,
+            machine_type,
+            zone,
             spot,
             count,
         } => {
             let request = RentRequest {
                 hire: hire.clone(),
-                rig,
-                site,
+                machine_type,
+                zone,
                 spot,
                 count,
             };
--- a/src/runtime/following.rs
+++ b/src/runtime/following.rs
@@ -31,7 +31,7 @@
         progress,
         intents,
         hosts,
-        rigs: lock(&node.rigs).clone(),
+        machine_types: lock(&node.machine_types).clone(),
         hints,
         day_ms: time_of_day_ms().saturating_sub(node.now().0.max(0) as u64),
     };
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -39,7 +39,7 @@
     /// What each sibling last said of itself, and when.
     pub heard: Mutex<Vec<Option<peers::Heard>>>,
     pub leader: LeaderCell,
-    pub rigs: Mutex<Vec<MachineTypeInfo>>,
+    pub machine_types: Mutex<Vec<MachineTypeInfo>>,
     /// Task counts as the leader last told, for display.
     pub counts: Mutex<BTreeMap<JobId, (u32, u32)>>,
     pub copy: copy::OpenCopy,
@@ -125,7 +125,7 @@
             .collect(),
         heard: Mutex::new(vec![None; p.siblings.len()]),
         leader: LeaderCell::default(),
-        rigs: Mutex::new(Vec::new()),
+        machine_types: Mutex::new(Vec::new()),
         counts: Mutex::new(BTreeMap::new()),
         copy: copy::OpenCopy::default(),
         cancel_news: peers::CancelNews::default(),
--- a/src/runtime/peers.rs
+++ b/src/runtime/peers.rs
@@ -79,18 +79,18 @@
 
 impl Node {
     /// A cancellation is confirmed: the leader stops the job's tasks, here or on a sibling.
-    pub fn cancelled(&self, id: &JobId, pieces: u32) {
-        self.job_cancelled(id, pieces);
+    pub fn cancelled(&self, id: &JobId, tasks: u32) {
+        self.job_cancelled(id, tasks);
         let mut untold = lock(&self.cancel_news.untold);
         if untold.len() < MOST_NEWS {
-            untold.push((id.clone(), pieces));
+            untold.push((id.clone(), tasks));
             self.cancel_news.news.notify_one();
         }
     }
 
     /// What a confirmed cancellation means on this controller. It is final.
-    fn job_cancelled(&self, id: &JobId, pieces: u32) {
-        lock(&self.finals).put(id, JobPhase::Cancelled, pieces);
+    fn job_cancelled(&self, id: &JobId, tasks: u32) {
+        lock(&self.finals).put(id, JobPhase::Cancelled, tasks);
         let closed = Event::JobClosed { id: id.clone() };
         self.leader.event(self.now(), closed);
     }
@@ -144,8 +144,8 @@
                     PeerReply::Noted
                 }
                 PeerRequest::Cancelled { jobs } => {
-                    for (id, pieces) in &jobs {
-                        node.job_cancelled(id, *pieces);
+                    for (id, tasks) in &jobs {
+                        node.job_cancelled(id, *tasks);
                     }
                     PeerReply::Noted
                 }
--- a/src/runtime/users.rs
+++ b/src/runtime/users.rs
@@ -36,13 +36,13 @@
 impl FinalCache {
     fn get(&self, id: &JobId) -> Option<Final> {
         let known = self.known.get(id);
-        known.map(|(phase, pieces)| Final {
+        known.map(|(phase, tasks)| Final {
             phase: *phase,
-            pieces: *pieces,
+            tasks: *tasks,
         })
     }
-    pub fn put(&mut self, id: &JobId, phase: JobPhase, pieces: u32) {
-        if self.known.insert(id.clone(), (phase, pieces)).is_none() {
+    pub fn put(&mut self, id: &JobId, phase: JobPhase, tasks: u32) {
+        if self.known.insert(id.clone(), (phase, tasks)).is_none() {
             self.order.push_back(id.clone());
             if self.order.len() > MOST_FINALS {
                 if let Some(old) = self.order.pop_front() {
@@ -64,7 +64,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Final {
     pub phase: JobPhase,
-    pub pieces: u32,
+    pub tasks: u32,
 }
 
 /// Reads a job: first whether it is open, then its finish mark. Accepting writes the open record,
@@ -86,9 +86,9 @@
         if mark.is_some_and(|m| m.phase == JobPhase::Cancelled) {
             let cancelled = Final {
                 phase: JobPhase::Cancelled,
-                pieces: job.pieces,
+                tasks: job.tasks,
             };
-            lock(&node.finals).put(id, cancelled.phase, cancelled.pieces);
+            lock(&node.finals).put(id, cancelled.phase, cancelled.tasks);
             return Ok(Found::Final(cancelled));
         }
     }
@@ -107,10 +107,10 @@
         tracing::error!(job = %id, error = %e, "a finish mark can't be read");
         StateError::Refused
     })?;
-    lock(&node.finals).put(id, mark.phase, mark.pieces);
+    lock(&node.finals).put(id, mark.phase, mark.tasks);
     Ok(Some(Final {
         phase: mark.phase,
-        pieces: mark.pieces,
+        tasks: mark.tasks,
     }))
 }
 
@@ -149,27 +149,34 @@
 }
 
 /// Why a job can never run here; None if it can.
-pub fn never_runs(spec: &JobSpec, rigs: &[MachineTypeInfo], teams: &[Team]) -> Option<String> {
+pub fn never_runs(
+    spec: &JobSpec,
+    machine_types: &[MachineTypeInfo],
+    teams: &[Team],
+) -> Option<String> {
     let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
         return Some("unknown team".into());
     };
     let need = Amount::of(spec);
-    let fits = rigs.iter().any(|r| {
+    let fits = machine_types.iter().any(|r| {
         let room = Amount {
             cpus: r.cpus,
             gpus: r.gpus,
             ram_gb: r.ram_gb,
         };
         need.fits(&room)
-            && spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name))
-            && spec.site.as_ref().is_none_or(|s| r.sites.contains(s))
+            && spec
+                .machine_types
+                .as_ref()
+                .is_none_or(|a| a.contains(&r.name))
+            && spec.zone.as_ref().is_none_or(|s| r.zones.contains(s))
     });
     if !fits {
         return Some("a task fits no allowed machine type".into());
     }
     let n = match spec.shape {
         Shape::Array => 1,
-        Shape::Gang | Shape::Service => spec.pieces,
+        Shape::Gang | Shape::Service => spec.tasks,
     };
     let all = need.times(f64::from(n));
     if !within(all.cpus, team.cpus_max) || !within(all.gpus, team.gpus_max) {
@@ -192,12 +199,12 @@
         }
     };
     let id = spec.id.clone();
-    let rigs = lock(&node.rigs).clone();
-    if rigs.is_empty() {
+    let machine_types = lock(&node.machine_types).clone();
+    if machine_types.is_empty() {
         let not_yet = Reply::busy("machine types are not known yet");
         return if_known(node, Some(&id), not_yet).await;
     }
-    if let Some(reason) = never_runs(&spec, &rigs, &node.policy.facts.teams) {
+    if let Some(reason) = never_runs(&spec, &machine_types, &node.policy.facts.teams) {
         return if_known(node, Some(&id), Reply::error(422, &reason)).await;
     }
     if waits_on.contains(&id) {
@@ -257,7 +264,7 @@
 /// Accepts a job that needs a cancelled one: it is cancelled from the start.
 async fn accept_cancelled(node: &Node, spec: &JobSpec) -> Reply {
     let id = &spec.id;
-    let Ok(data) = serde_json::to_value(FinalRecord::cancelled(spec.pieces)) else {
+    let Ok(data) = serde_json::to_value(FinalRecord::cancelled(spec.tasks)) else {
         return Reply::error(400, "can't be stored");
     };
     let absent = |key| Guard {
@@ -271,7 +278,7 @@
     match node.state.txn(&txn).await {
         Ok(TxnOutcome::Applied(_)) => {
             tracing::debug!(job = %id, "accepted and cancelled with a job that it needs");
-            lock(&node.finals).put(id, JobPhase::Cancelled, spec.pieces);
+            lock(&node.finals).put(id, JobPhase::Cancelled, spec.tasks);
             accepted(201, id, JobPhase::Cancelled)
         }
         failed => settle(node, id, failed).await,
@@ -304,13 +311,13 @@
                 &Status {
                     id: &id,
                     phase,
-                    done: done.min(note.pieces),
+                    done: done.min(note.tasks),
                     running,
                 },
             )
         }
-        Ok(Ok(Found::Final(Final { phase, pieces }))) => {
-            let done = if phase == JobPhase::Done { pieces } else { 0 };
+        Ok(Ok(Found::Final(Final { phase, tasks }))) => {
+            let done = if phase == JobPhase::Done { tasks } else { 0 };
             Reply::json(
                 200,
                 &Status {
@@ -335,19 +342,19 @@
     let began = Instant::now();
     let mut unclear = false;
     while began.elapsed() < SUBMIT / 2 {
-        let OpenJob { stamp, pieces, .. } = match find(node, &id).await {
+        let OpenJob { stamp, tasks, .. } = match find(node, &id).await {
             Ok(Found::Open(job)) => job,
-            Ok(Found::Final(Final { phase, pieces })) => {
+            Ok(Found::Final(Final { phase, tasks })) => {
                 // Perhaps a transaction of ours that got no answer: nobody has been told yet.
                 if unclear && phase == JobPhase::Cancelled {
-                    node.cancelled(&id, pieces);
+                    node.cancelled(&id, tasks);
                 }
                 return accepted(200, &id, phase);
             }
             Ok(Found::Never) => return Reply::error(404, "no such job"),
             Err(_) => break,
         };
-        let mark = FinalRecord::cancelled(pieces);
+        let mark = FinalRecord::cancelled(tasks);
         let Ok(data) = serde_json::to_value(&mark) else {
             break;
         };
@@ -371,7 +378,7 @@
         };
         match node.state.txn(&txn).await {
             Ok(TxnOutcome::Applied(_)) => {
-                node.cancelled(&id, pieces);
+                node.cancelled(&id, tasks);
                 return accepted(200, &id, JobPhase::Cancelled);
             }
             Ok(TxnOutcome::Conflict(_)) => continue,
--- a/src/storage/ledger.rs
+++ b/src/storage/ledger.rs
@@ -128,7 +128,7 @@
 impl Job {
     /// A job of which nothing has happened yet.
     pub fn new(spec: JobSpec, team: Option<TeamNo>, stamp: Stamp, submitted: Millis) -> Job {
-        let n = spec.pieces;
+        let n = spec.tasks;
         Job {
             team,
             stamp,
@@ -158,7 +158,7 @@
     }
     /// Whether every task is done.
     pub fn complete(&self) -> bool {
-        self.spec.shape != Shape::Service && self.done.count() >= self.spec.pieces
+        self.spec.shape != Shape::Service && self.done.count() >= self.spec.tasks
     }
     /// Whether it has failed on several machines and never succeeded: most likely it fails on all.
     pub fn mistaken(&self) -> bool {
@@ -166,16 +166,16 @@
     }
     /// Whether a task still has to run.
     pub fn wants(&self, index: u32) -> bool {
-        !self.over && index < self.spec.pieces && !self.done.has(index)
+        !self.over && index < self.spec.tasks && !self.done.has(index)
     }
     /// What its unfinished tasks take together.
     pub fn left(&self) -> Amount {
-        let left = self.spec.pieces - self.done.count().min(self.spec.pieces);
+        let left = self.spec.tasks - self.done.count().min(self.spec.tasks);
         Amount::of(&self.spec).times(f64::from(left))
     }
     /// A gang of more than one task of which none has completed: all of it runs, or nothing.
     pub fn stands_together(&self) -> bool {
-        self.spec.shape == Shape::Gang && self.spec.pieces > 1 && self.done.count() == 0
+        self.spec.shape == Shape::Gang && self.spec.tasks > 1 && self.done.count() == 0
     }
 }
 
@@ -214,7 +214,7 @@
 /// One start (task and try) that may be on a machine.
 #[derive(Clone, Debug)]
 pub struct Start {
-    pub piece: TaskId,
+    pub task: TaskId,
     pub attempt: Attempt,
     /// What it takes of its machine and of its team, and the image it needs: kept here so that
     /// sums need no look at the job.
@@ -248,14 +248,14 @@
     /// A start that is only planned. Without a job (over and forgotten) `need` stands for all that
     /// it might take.
     pub fn planned(
-        piece: TaskId,
+        task: TaskId,
         attempt: Attempt,
         job: Option<&Job>,
         need: Amount,
         now: Millis,
     ) -> Start {
         Start {
-            piece,
+            task,
             attempt,
             need: job.map_or(need, |j| Amount::of(&j.spec)),
             team: job.and_then(|j| j.team),
@@ -312,8 +312,8 @@
 pub struct Machine {
     pub id: HostId,
     pub endpoint: String,
-    pub rig: MachineType,
-    pub site: Zone,
+    pub machine_type: MachineType,
+    pub zone: Zone,
     pub spot: bool,
     pub state: MachineState,
     /// When we first knew of it.
@@ -380,8 +380,8 @@
     /// A machine of which nothing is known but its name and kind, and what such a machine offers.
     pub fn new(
         id: HostId,
-        rig: MachineType,
-        site: Zone,
+        machine_type: MachineType,
+        zone: Zone,
         spot: bool,
         whole: Amount,
         now: Millis,
@@ -389,8 +389,8 @@
         Machine {
             id,
             endpoint: String::new(),
-            rig,
-            site,
+            machine_type,
+            zone,
             spot,
             state: MachineState::Booting,
             since: now,
--- a/src/storage/pages.rs
+++ b/src/storage/pages.rs
@@ -9,7 +9,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StartKey {
     pub host: HostId,
-    pub piece: TaskId,
+    pub task: TaskId,
     pub attempt: Attempt,
 }
 
@@ -18,7 +18,7 @@
     pub fn new(host: &HostId, key: &(TaskId, Attempt)) -> StartKey {
         StartKey {
             host: host.clone(),
-            piece: key.0.clone(),
+            task: key.0.clone(),
             attempt: key.1,
         }
     }
@@ -62,7 +62,7 @@
     }
     /// Takes a start in.
     pub fn add(&mut self, key: &StartKey, team: &str) {
-        let job = &key.piece.job;
+        let job = &key.task.job;
         // A task's number and a comma; numbers have at most six digits.
         self.bytes += 7;
         if self.tries.insert(key.attempt) {
--- a/src/storage/records.rs
+++ b/src/storage/records.rs
@@ -147,7 +147,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FinalRecord {
     pub phase: JobPhase,
-    pub pieces: u32,
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
     /// Time of day of the end of a job that others wait for, in milliseconds: a hint, from which a new
     /// leader tells how long those have been ready.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -156,10 +157,10 @@
 
 impl FinalRecord {
     /// The mark of a job that its user, or that of a job it needs, has cancelled.
-    pub fn cancelled(pieces: u32) -> FinalRecord {
+    pub fn cancelled(tasks: u32) -> FinalRecord {
         FinalRecord {
             phase: JobPhase::Cancelled,
-            pieces,
+            tasks,
             at_ms: None,
         }
     }
@@ -201,16 +202,16 @@
 
 impl IntentsPage {
     /// Adds a start.
-    pub fn add(&mut self, host: &HostId, piece: &TaskId, attempt: Attempt) {
+    pub fn add(&mut self, host: &HostId, task: &TaskId, attempt: Attempt) {
         let tasks = self
             .starts
             .entry(attempt)
             .or_default()
-            .entry(piece.job.clone())
+            .entry(task.job.clone())
             .or_default()
             .entry(host.clone())
             .or_default();
-        tasks.push(piece.index);
+        tasks.push(task.index);
     }
     /// The starts, flat.
     pub fn starts(&self) -> impl Iterator<Item = (HostId, TaskId, Attempt)> + '_ {
@@ -218,11 +219,11 @@
             jobs.iter().flat_map(move |(job, hosts)| {
                 hosts.iter().flat_map(move |(host, tasks)| {
                     tasks.iter().map(move |index| {
-                        let piece = TaskId {
+                        let task = TaskId {
                             job: job.clone(),
                             index: *index,
                         };
-                        (host.clone(), piece, *attempt)
+                        (host.clone(), task, *attempt)
                     })
                 })
             })
--- a/tests/demand.rs
+++ b/tests/demand.rs
@@ -4,9 +4,9 @@
 use chalklug::ids::Millis;
 use chalklug::protocol::users::{parse_submission, JobSpec};
 
-fn spec(pieces: u32) -> JobSpec {
+fn spec(tasks: u32) -> JobSpec {
     let body = serde_json::json!({"ref":"wk-1","jobclass":"c","crew":"t","shape":"array",
-        "urgency":"normal","pieces":pieces,"cpus":1,"gpus":1,"ramGb":1,"bundle":"i","pullGb":1,
+        "urgency":"normal","pieces":tasks,"cpus":1,"gpus":1,"ramGb":1,"bundle":"i","pullGb":1,
         "together":false,"scatter":false,"loaners":true,"guessS":10,"markEveryS":0,"markCostS":0});
     parse_submission(body.to_string().as_bytes()).unwrap().spec
 }
--- a/tests/encodings.rs
+++ b/tests/encodings.rs
@@ -69,7 +69,7 @@
     );
     let done = FinalRecord {
         phase: JobPhase::Done,
-        pieces: 16,
+        tasks: 16,
         at_ms: None,
     };
     stored(&done, r#"{"phase":"done","pieces":16}"#);
@@ -99,11 +99,11 @@
     let mut page = IntentsPage::default();
     let host = HostId::from("host-000231");
     for index in [0, 4] {
-        let piece = TaskId {
+        let task = TaskId {
             job: JobId::from("wk-000412"),
             index,
         };
-        page.add(&host, &piece, Attempt(9));
+        page.add(&host, &task, Attempt(9));
     }
     let takes = JobTakes("vision".into(), 8.0, 1.0, 64.0);
     page.jobs.insert(JobId::from("wk-000412"), takes);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -62,8 +62,8 @@
         let spec = parse_submission(body.to_string().as_bytes()).unwrap().spec;
         let mut page = IntentsPage::default();
         for t in 0..10 * GPUS {
-            let piece = TaskId::parse(&format!("{id}/{t}")).unwrap();
-            page.add(&host(j * 10 + t / GPUS), &piece, Attempt(7));
+            let task = TaskId::parse(&format!("{id}/{t}")).unwrap();
+            page.add(&host(j * 10 + t / GPUS), &task, Attempt(7));
         }
         page.jobs.insert(spec.id.clone(), JobTakes::of(&spec));
         pages.push(page);
@@ -100,7 +100,7 @@
                 )
             })
             .collect(),
-        rigs: vec![machine_type(GPUS as f64)],
+        machine_types: vec![machine_type(GPUS as f64)],
         ..Inheritance::default()
     }
 }
@@ -117,10 +117,10 @@
 }
 
 fn report(n: u64, tick: u64, token: u64, ended: usize) -> Report {
-    let pieces = (0..GPUS).map(|t| {
+    let tasks = (0..GPUS).map(|t| {
         let ends = (t as usize) < ended;
         TaskReport {
-            piece: TaskId::parse(&format!("wk-{:06}/{}", n / 10, (n % 10) * GPUS + t)).unwrap(),
+            task: TaskId::parse(&format!("wk-{:06}/{}", n / 10, (n % 10) * GPUS + t)).unwrap(),
             attempt: Attempt(7),
             phase: if ends {
                 TaskPhase::Ended
@@ -134,14 +134,14 @@
     Report {
         host: host(n),
         endpoint: format!("10.1.{}.{}:9000", n / 250, n % 250),
-        rig: MachineType::from("box"),
-        site: Zone::from("a"),
+        machine_type: MachineType::from("box"),
+        zone: Zone::from("a"),
         spot: false,
         session: Session(1),
         tick: Tick(tick),
         token: Token(token),
         recall_s: None,
-        pieces: pieces.collect(),
+        tasks: tasks.collect(),
     }
 }
 
@@ -273,8 +273,8 @@
                 };
                 if put.starts_with(INTENTS) {
                     let page: IntentsPage = serde_json::from_value(data).unwrap();
-                    for (_, piece, _) in page.starts() {
-                        tasks.entry(piece.job).or_default().insert(piece.index);
+                    for (_, task, _) in page.starts() {
+                        tasks.entry(task.job).or_default().insert(task.index);
                     }
                 }
             }
@@ -293,7 +293,7 @@
     let mut core = Core::take_over(policy, lead(9), now, found).unwrap();
     for n in 0..MACHINES {
         let mut empty = report(n, 1, 9, 0);
-        empty.pieces.clear();
+        empty.tasks.clear();
         core.check_in(now, &empty);
     }
     core
@@ -422,7 +422,7 @@
     core.on(now, gpu_job("wk-900002", 4, vec![JobId::from("wk-800003")]));
     let done = |at_ms| FinalRecord {
         phase: JobPhase::Done,
-        pieces: 1,
+        tasks: 1,
         at_ms,
     };
     let [first, second] = [Some(60_000), Some(80_000)].map(done);
--- a/tests/production.rs
+++ b/tests/production.rs
@@ -4,6 +4,7 @@
 //! These types are a record of that version and never change with the code.
 
 use chalklug::ids::*;
+use chalklug::protocol::cloud::MachineTypeList;
 use chalklug::protocol::peers::{PeerReply, PeerRequest};
 use chalklug::protocol::users::{parse_submission, JobPhase};
 use chalklug::storage::records;
@@ -161,7 +162,7 @@
         for at_ms in [None, Some(1_700_000_000_000)] {
             let mark = records::FinalRecord {
                 phase,
-                pieces: 16,
+                tasks: 16,
                 at_ms,
             };
             let old: FinalRecord = old_reads(&mark);
@@ -264,3 +265,14 @@
         assert_eq!(format!("{old:?}"), format!("{reply:?}"));
     }
 }
+
+/// The copy of the machine types that leaders of either version keep for all controllers.
+#[test]
+fn machine_types() {
+    let stored = json!({"rigs": [{"sku": "g8", "cpus": 96.0, "gpus": 8.0, "ramGb": 768.0, "localGb": 200.0,
+        "fetchGbPerS": 1.0, "hourly": 12.0, "marketPrice": 4.5, "bootS": 45.0, "sites": ["a", "b"]}]});
+    let list: MachineTypeList = serde_json::from_value(stored.clone()).expect("it is read");
+    assert_eq!(list.machine_types[0].zones, ["a", "b"].map(Zone::from));
+    let written = serde_json::to_value(&list).expect("it is written");
+    assert_eq!(written, stored);
+}
--- a/tests/protocol.rs
+++ b/tests/protocol.rs
@@ -29,7 +29,10 @@
     }
     less["unheard_of"] = json!([1, 2]);
     let spec = parse_submission(less.to_string().as_bytes()).unwrap().spec;
-    assert_eq!((spec.rigs, spec.site, spec.due_s), (None, None, None));
+    assert_eq!(
+        (spec.machine_types, spec.zone, spec.due_s),
+        (None, None, None)
+    );
     assert!(Urgency::Low < Urgency::Normal && Urgency::Urgent < Urgency::Production);
 }
 
@@ -53,31 +56,31 @@
             {"piece":"wk-000398/1","try":1,"phase":"ended","cause":"struck_by_lightning"}]}),
     )
     .unwrap();
-    let phases: Vec<TaskPhase> = r.pieces.iter().map(|p| p.phase).collect();
+    let phases: Vec<TaskPhase> = r.tasks.iter().map(|p| p.phase).collect();
     // A phase not known counts as present, a cause not known as an error.
     assert_eq!(phases[..2], [TaskPhase::Fetching, TaskPhase::Running]);
-    assert_eq!(r.pieces[2].cause, Some(Cause::MatesGone));
-    assert_eq!(r.pieces[3].cause, Some(Cause::Error));
-    assert!(r.pieces[2].stored && r.token == Token(41));
+    assert_eq!(r.tasks[2].cause, Some(Cause::MatesGone));
+    assert_eq!(r.tasks[3].cause, Some(Cause::Error));
+    assert!(r.tasks[2].stored && r.token == Token(41));
 }
 
 #[test]
 fn orders_and_transactions_are_written_as_the_protocol_says() {
-    let piece = TaskId::parse("wk-000377/1").unwrap();
+    let task = TaskId::parse("wk-000377/1").unwrap();
     let reply = CheckInReply {
         token: Token(41),
         orders: vec![
             Order::Launch {
-                piece: piece.clone(),
+                task: task.clone(),
                 attempt: Attempt(2),
             },
             Order::Stop {
-                piece: piece.clone(),
+                task: task.clone(),
                 attempt: Attempt(1),
                 grace_s: 10.0,
             },
             Order::Clear {
-                piece,
+                task,
                 attempt: Attempt(1),
             },
         ],
--- a/tests/random/chains.rs
+++ b/tests/random/chains.rs
@@ -59,12 +59,12 @@
             }
         }
         let name = format!("wk-{n:06}");
-        let pieces = self.rng.random_range(1..5).to_string();
+        let tasks = self.rng.random_range(1..5).to_string();
         let run = self.rng.random_range(2..20).to_string();
         let team = ["blue", "red"][self.rng.random_range(0..2)];
         let urgency = ["low", "normal", "urgent"][self.rng.random_range(0..3)];
         let mut words = vec![name.as_str(), "team", team, "urgency", urgency];
-        words.extend(["pieces", &pieces, "run", &run]);
+        words.extend(["pieces", &tasks, "run", &run]);
         words.extend(match self.rng.random_range(0..4) {
             0 => vec!["shape", "gang", "together"],
             1 => vec!["spot", "checkpoint", "4"],
--- a/tests/random/faults.rs
+++ b/tests/random/faults.rs
@@ -41,11 +41,11 @@
         let mut next = 0u32;
         for _ in 0..10 {
             for _ in 0..rng.random_range(1..4) {
-                let (id, pieces) = (format!("wk-{next:06}"), rng.random_range(1..6).to_string());
+                let (id, tasks) = (format!("wk-{next:06}"), rng.random_range(1..6).to_string());
                 let run = rng.random_range(3..40).to_string();
                 let team = ["blue", "red"][next as usize % 2];
                 next += 1;
-                let mut words = vec![id.as_str(), "team", team, "pieces", &pieces, "run", &run];
+                let mut words = vec![id.as_str(), "team", team, "pieces", &tasks, "run", &run];
                 words.extend(match rng.random_range(0..5) {
                     0 => vec!["shape", "gang", "together"],
                     1 => vec!["scatter", "checkpoint", "4"],
@@ -103,12 +103,12 @@
         let mut cancelled = Vec::new();
         for n in 0..24u32 {
             let id = format!("wk-{n:06}");
-            let (team, pieces, run) = (
+            let (team, tasks, run) = (
                 ["blue", "red"][n as usize % 2],
                 rng.random_range(1..8).to_string(),
                 rng.random_range(3..25).to_string(),
             );
-            let mut words = vec![id.as_str(), "team", team, "pieces", &pieces, "run", &run];
+            let mut words = vec![id.as_str(), "team", team, "pieces", &tasks, "run", &run];
             let shape = rng.random_range(0..4);
             words.extend(match shape {
                 0 => vec!["shape", "gang", "together"],
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -113,7 +113,7 @@
         // What follows the service never does: it shows that the checker sees it.
         "rogue-launch" => {
             let order = Order::Launch {
-                piece: TaskId::parse(rest[0]).unwrap(),
+                task: TaskId::parse(rest[0]).unwrap(),
                 attempt: Attempt(1 << 50),
             };
             let h = match words.get("not-of") {
@@ -149,7 +149,7 @@
         "rogue-done" => {
             let mark = FinalRecord {
                 phase: JobPhase::Done,
-                pieces: spec.pieces,
+                tasks: spec.tasks,
                 at_ms: None,
             };
             vec![
@@ -204,9 +204,9 @@
             }
         }
         "starts" => {
-            let piece = TaskId::parse(rest[1]).unwrap();
-            let n = w.checker.starts.get(&piece).copied().unwrap_or(0);
-            assert_eq!(n.to_string(), rest[2], "{file}: starts of {piece}");
+            let task = TaskId::parse(rest[1]).unwrap();
+            let n = w.checker.starts.get(&task).copied().unwrap_or(0);
+            assert_eq!(n.to_string(), rest[2], "{file}: starts of {task}");
         }
         "tries" => {
             let of = |(p, _): &(&TaskId, &u32)| p.job == job();
--- a/tests/support/machine_type.rs
+++ b/tests/support/machine_type.rs
@@ -15,6 +15,6 @@
         price: 10.0,
         spot_price: 4.0,
         boot_s: 25.0,
-        sites: vec![Zone::from("a"), Zone::from("b")],
+        zones: vec![Zone::from("a"), Zone::from("b")],
     }
 }
--- a/tests/upgrade/repacking.rs
+++ b/tests/upgrade/repacking.rs
@@ -79,7 +79,7 @@
     let found = Inheritance {
         hosts: store.list(HOSTS),
         intents: store.list(INTENTS),
-        rigs: vec![machine_type(8.0)],
+        machine_types: vec![machine_type(8.0)],
         day_ms: 1_700_000_000_000,
         ..Inheritance::default()
     };
--- a/tests/world/checker.rs
+++ b/tests/world/checker.rs
@@ -23,7 +23,7 @@
     pub first: Option<String>,
     /// A job that nobody submits.
     pub stranger: JobId,
-    rigs: Vec<MachineTypeInfo>,
+    machine_types: Vec<MachineTypeInfo>,
     /// Jobs that a job waits for.
     after: BTreeMap<JobId, Vec<JobId>>,
     /// The last moment at which some trouble went on.
@@ -40,9 +40,9 @@
 const HEARING: Millis = Millis(1_000);
 
 impl Checker {
-    pub fn new(facts: Facts, rigs: Vec<MachineTypeInfo>) -> Checker {
+    pub fn new(facts: Facts, machine_types: Vec<MachineTypeInfo>) -> Checker {
         Checker {
-            rigs,
+            machine_types,
             after: BTreeMap::new(),
             troubled: Millis(0),
             waits: BTreeMap::new(),
@@ -62,16 +62,19 @@
 
     /// A job is accepted: it must be able to run at all.
     pub fn accepted(&mut self, now: Millis, spec: JobSpec, after: Vec<JobId>) {
-        let one = self.rigs.iter().any(|r| {
+        let one = self.machine_types.iter().any(|r| {
             spec.cpus <= r.cpus
                 && spec.gpus <= r.gpus
                 && spec.ram_gb <= r.ram_gb
-                && spec.rigs.as_ref().is_none_or(|a| a.contains(&r.name))
-                && spec.site.as_ref().is_none_or(|s| r.sites.contains(s))
+                && spec
+                    .machine_types
+                    .as_ref()
+                    .is_none_or(|a| a.contains(&r.name))
+                && spec.zone.as_ref().is_none_or(|s| r.zones.contains(s))
         });
         let at_once = match spec.shape {
             Shape::Array => 1.0,
-            _ => f64::from(spec.pieces),
+            _ => f64::from(spec.tasks),
         };
         let team = self.facts.teams.iter().find(|t| t.name == spec.team);
         let within = team.is_some_and(|t| {
@@ -88,10 +91,10 @@
 
     /// A launch leaves a leader that has heard of everything confirmed, or that could for `unheard`
     /// not have.
-    pub fn launch_leaves(&mut self, now: Millis, piece: &TaskId, unheard: Millis) {
-        let since = self.cancelled.get(&piece.job);
+    pub fn launch_leaves(&mut self, now: Millis, task: &TaskId, unheard: Millis) {
+        let since = self.cancelled.get(&task.job);
         if since.is_some_and(|t| now - *t > unheard.max(HEARING)) {
-            self.breaks(now, "launched_cancelled", piece.to_string());
+            self.breaks(now, "launched_cancelled", task.to_string());
         }
     }
     pub fn cancelled(&mut self, id: &JobId, now: Millis) {
@@ -143,8 +146,8 @@
         // Machines that report and do their work, with what is free.
         let mut free: Vec<(&Worker, f64, f64)> = Vec::new();
         for w in workers.values() {
-            let rig = self.rigs.iter().find(|r| r.name == w.rig);
-            let (mut cpus, mut gpus) = rig.map_or((0.0, 0.0), |r| (r.cpus, r.gpus));
+            let machine_type = self.machine_types.iter().find(|r| r.name == w.machine_type);
+            let (mut cpus, mut gpus) = machine_type.map_or((0.0, 0.0), |r| (r.cpus, r.gpus));
             for ((p, _), t) in &w.tasks {
                 if t.phase != TaskPhase::Ended {
                     let spec = &self.jobs[&p.job];
@@ -168,7 +171,7 @@
                 continue;
             }
             let done = self.done.get(id);
-            let missing: Vec<TaskId> = (0..spec.pieces)
+            let missing: Vec<TaskId> = (0..spec.tasks)
                 .filter(|i| done.is_none_or(|d| !d.contains(i)))
                 .map(|index| TaskId {
                     job: id.clone(),
@@ -193,21 +196,24 @@
                     };
                     w.tasks.iter().any(going)
                 })
-                .map(|w| &w.site)
+                .map(|w| &w.zone)
                 .collect();
             let mut room: BTreeMap<&Zone, u32> = BTreeMap::new();
             for (w, cpus, gpus) in &free {
                 let kind = (spec.spot || !w.spot)
-                    && spec.site.as_ref().is_none_or(|s| *s == w.site)
-                    && spec.rigs.as_ref().is_none_or(|r| r.contains(&w.rig))
-                    && (!spec.together || mine.iter().all(|s| **s == w.site));
+                    && spec.zone.as_ref().is_none_or(|s| *s == w.zone)
+                    && spec
+                        .machine_types
+                        .as_ref()
+                        .is_none_or(|r| r.contains(&w.machine_type))
+                    && (!spec.together || mine.iter().all(|s| **s == w.zone));
                 let n = |free: f64, need: f64| match need > 0.0 {
                     true => ((free + 1e-6) / need).floor().max(0.0) as u32,
                     false => u32::MAX,
                 };
                 if kind {
                     let fit = n(*cpus, spec.cpus).min(n(*gpus, spec.gpus)).min(1000);
-                    *room.entry(&w.site).or_default() += fit;
+                    *room.entry(&w.zone).or_default() += fit;
                 }
             }
             let most = match spec.together {
@@ -259,11 +265,14 @@
                 self.breaks(now, "ran_twice", format!("{p} on {host} and elsewhere"));
             }
             let kind = (spec.spot || !w.spot)
-                && spec.site.as_ref().is_none_or(|s| *s == w.site)
-                && spec.rigs.as_ref().is_none_or(|r| r.contains(&w.rig));
-            let apart = spec.together && others.iter().any(|o| o.site != w.site);
-            let here = others.iter().filter(|o| o.site == w.site).count() as u32 + 1;
-            let crowded = spec.scatter && here > spec.pieces.div_ceil(2);
+                && spec.zone.as_ref().is_none_or(|s| *s == w.zone)
+                && spec
+                    .machine_types
+                    .as_ref()
+                    .is_none_or(|r| r.contains(&w.machine_type));
+            let apart = spec.together && others.iter().any(|o| o.zone != w.zone);
+            let here = others.iter().filter(|o| o.zone == w.zone).count() as u32 + 1;
+            let crowded = spec.scatter && here > spec.tasks.div_ceil(2);
             if !kind || apart || crowded {
                 self.breaks(now, "wrong_place", format!("{p} on {host}"));
             }
@@ -304,7 +313,7 @@
                 continue;
             };
             let done = self.done.get(&id).map_or(0, BTreeSet::len) as u32;
-            if phase == JobPhase::Done && done < self.jobs[&id].pieces {
+            if phase == JobPhase::Done && done < self.jobs[&id].tasks {
                 self.breaks(now, "not_done", id.to_string());
             }
             let before = self.told.insert(id.clone(), phase);
--- a/tests/world/cloud.rs
+++ b/tests/world/cloud.rs
@@ -15,8 +15,8 @@
             .map(|w| CloudHost {
                 id: w.id.clone(),
                 endpoint: w.endpoint(),
-                rig: w.rig.clone(),
-                site: w.site.clone(),
+                machine_type: w.machine_type.clone(),
+                zone: w.zone.clone(),
                 spot: w.spot,
                 phase: if w.up_at <= now {
                     CloudPhase::Running
@@ -45,8 +45,8 @@
     pub(super) fn rent(
         &mut self,
         hire: &str,
-        rig: &MachineType,
-        site: &Zone,
+        machine_type: &MachineType,
+        zone: &Zone,
         spot: bool,
         n: u32,
     ) -> Option<Vec<HostId>> {
@@ -60,7 +60,11 @@
         if free == 0 {
             return None;
         }
-        let boot = self.rigs.iter().find(|r| r.name == *rig)?.boot_s;
+        let boot = self
+            .machine_types
+            .iter()
+            .find(|r| r.name == *machine_type)?
+            .boot_s;
         let hosts: Vec<HostId> = (0..free)
             .map(|_| {
                 self.rented += 1;
@@ -68,7 +72,14 @@
                 let never = self.rented <= self.boot_never;
                 let wait = if never { 1e6 } else { boot };
                 let up = self.now + Millis::from_secs(wait);
-                let w = Worker::new(id.clone(), rig.clone(), site.clone(), spot, self.now, up);
+                let w = Worker::new(
+                    id.clone(),
+                    machine_type.clone(),
+                    zone.clone(),
+                    spot,
+                    self.now,
+                    up,
+                );
                 self.workers.insert(id.clone(), w);
                 id
             })
--- a/tests/world/given.rs
+++ b/tests/world/given.rs
@@ -36,7 +36,7 @@
 /// What a scenario is given.
 pub struct Given {
     pub facts: Facts,
-    pub rigs: Vec<MachineTypeInfo>,
+    pub machine_types: Vec<MachineTypeInfo>,
     pub machines: u32,
     pub seed: u64,
     pub campaigns: bool,
@@ -73,7 +73,7 @@
                 max_sockets: 1000,
             },
         },
-        rigs: Vec::new(),
+        machine_types: Vec::new(),
         machines: 20,
         seed: 1,
         campaigns: false,
@@ -91,7 +91,7 @@
             gpus: w.num("gpus", 0.0),
             gpus_max: w.num("max", 0.0),
         }),
-        "rig" => g.rigs.push(MachineTypeInfo {
+        "rig" => g.machine_types.push(MachineTypeInfo {
             name: MachineType::from(rest[0]),
             cpus: w.num("cpus", 64.0),
             gpus: w.num("gpus", 8.0),
@@ -101,7 +101,7 @@
             price: w.num("price", 10.0),
             spot_price: w.num("spotprice", 4.0),
             boot_s: w.num("boot", 5.0),
-            sites: w
+            zones: w
                 .get("sites")
                 .unwrap_or("a")
                 .split(',')
@@ -142,14 +142,14 @@
             "urgent" => Urgency::Urgent,
             _ => Urgency::Production,
         },
-        pieces: w.num("pieces", 1.0) as u32,
+        tasks: w.num("pieces", 1.0) as u32,
         cpus: w.num("cpus", 1.0),
         gpus: w.num("gpus", 1.0),
         ram_gb: 1.0,
         image: Image::from(w.get("image").unwrap_or("img")),
         image_gb: w.num("gb", 2.0),
-        rigs: None,
-        site: w.get("site").map(Zone::from),
+        machine_types: None,
+        zone: w.get("site").map(Zone::from),
         together: w.has("together"),
         scatter: w.has("scatter"),
         spot: w.has("spot"),
@@ -168,7 +168,7 @@
             operator: Operator::default(),
             most_direct: MOST_DIRECT,
         };
-        let mut world = World::new(policy, self.rigs, self.machines, self.seed);
+        let mut world = World::new(policy, self.machine_types, self.machines, self.seed);
         world.campaigns = self.campaigns;
         world
     }
--- a/tests/world/leading.rs
+++ b/tests/world/leading.rs
@@ -94,7 +94,7 @@
             progress: self.store.list(PROGRESS),
             intents: self.store.list(INTENTS),
             hosts: self.store.list(HOSTS),
-            rigs: self.rigs.clone(),
+            machine_types: self.machine_types.clone(),
             hints: self.store.get(HINTS),
             day_ms: 0,
         };
@@ -132,8 +132,8 @@
     pub(super) fn launches_leave(&mut self, orders: &[Order]) {
         let (now, unheard) = (self.now, self.unheard());
         for o in orders {
-            if let Order::Launch { piece, .. } = o {
-                self.checker.launch_leaves(now, piece, unheard);
+            if let Order::Launch { task, .. } = o {
+                self.checker.launch_leaves(now, task, unheard);
             }
         }
     }
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -75,7 +75,7 @@
 pub struct World {
     pub now: Millis,
     pub policy: Arc<Policy>,
-    pub rigs: Vec<MachineTypeInfo>,
+    pub machine_types: Vec<MachineTypeInfo>,
     pub capacity: u32,
     pub store: Store,
     pub workers: BTreeMap<HostId, Worker>,
@@ -129,10 +129,15 @@
 }
 
 impl World {
-    pub fn new(policy: Policy, rigs: Vec<MachineTypeInfo>, capacity: u32, seed: u64) -> World {
+    pub fn new(
+        policy: Policy,
+        machine_types: Vec<MachineTypeInfo>,
+        capacity: u32,
+        seed: u64,
+    ) -> World {
         World {
             now: Millis(0),
-            checker: Checker::new(policy.facts.clone(), rigs.clone()),
+            checker: Checker::new(policy.facts.clone(), machine_types.clone()),
             authority: None,
             campaigns: false,
             times: LeaderTimes::derive(&policy.facts.workers, &policy.operator)
@@ -143,7 +148,7 @@
             watch_stuck: Millis(0),
             peers_cut: Millis(0),
             policy: Arc::new(policy),
-            rigs,
+            machine_types,
             capacity,
             store: Store::default(),
             workers: BTreeMap::new(),
@@ -194,7 +199,7 @@
         // As controllers do: with a cancelled producer it is cancelled from the start.
         let named_cancelled = |p: &JobId| self.store.phase(p) == Some(JobPhase::Cancelled);
         let first = if after.iter().any(named_cancelled) {
-            let mark = FinalRecord::cancelled(spec.pieces);
+            let mark = FinalRecord::cancelled(spec.tasks);
             Change::put(final_key(&id), serde_json::to_value(&mark).unwrap())
         } else {
             Change::put(open_key(&id), serde_json::to_value(&record).unwrap())
@@ -235,7 +240,7 @@
         let Some(open) = self.store.get(&open_key(id)) else {
             return false;
         };
-        let mark = FinalRecord::cancelled(self.specs[id].pieces);
+        let mark = FinalRecord::cancelled(self.specs[id].tasks);
         let txn = Txn {
             guards: vec![Guard {
                 key: open_key(id),
@@ -265,7 +270,7 @@
         self.launches_leave(std::slice::from_ref(&order));
         let (runs, specs, progress) = (&self.runs, &self.specs, &mut self.progress);
         if let Some(w) = self.workers.get_mut(host) {
-            w.execute(self.now, &order, specs, runs, progress, &self.rigs);
+            w.execute(self.now, &order, specs, runs, progress, &self.machine_types);
         }
     }
 
@@ -438,7 +443,7 @@
                         &self.specs,
                         &self.runs,
                         &mut self.progress,
-                        &self.rigs,
+                        &self.machine_types,
                     );
                 }
             }
@@ -481,7 +486,7 @@
                             &self.specs,
                             &self.runs,
                             &mut self.progress,
-                            &self.rigs,
+                            &self.machine_types,
                         );
                     }
                 }
@@ -635,15 +640,15 @@
             }
             Effect::Rent {
                 hire,
-                rig,
-                site,
+                machine_type,
+                zone,
                 spot,
                 count,
             } => {
                 let event = if now < self.cloud_down {
                     Event::RentUnclear { hire }
                 } else {
-                    let hosts = self.rent(&hire, &rig, &site, spot, count);
+                    let hosts = self.rent(&hire, &machine_type, &zone, spot, count);
                     Event::Rented { hire, hosts }
                 };
                 self.send(120, Message::ToCore(leader, event));
--- a/tests/world/worker.rs
+++ b/tests/world/worker.rs
@@ -24,8 +24,8 @@
 
 pub struct Worker {
     pub id: HostId,
-    pub rig: MachineType,
-    pub site: Zone,
+    pub machine_type: MachineType,
+    pub zone: Zone,
     pub spot: bool,
     pub rented_at: Millis,
     pub up_at: Millis,
@@ -54,16 +54,16 @@
 impl Worker {
     pub fn new(
         id: HostId,
-        rig: MachineType,
-        site: Zone,
+        machine_type: MachineType,
+        zone: Zone,
         spot: bool,
         now: Millis,
         up: Millis,
     ) -> Worker {
         Worker {
             id,
-            rig,
-            site,
+            machine_type,
+            zone,
             spot,
             rented_at: now,
             up_at: up,
@@ -136,18 +136,18 @@
         Report {
             host: self.id.clone(),
             endpoint: self.endpoint(),
-            rig: self.rig.clone(),
-            site: self.site.clone(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
             spot: self.spot,
             session: self.session,
             tick: Tick(self.tick),
             token: self.token,
             recall_s: self.recall_at.map(|_| 10.0),
-            pieces: self
+            tasks: self
                 .tasks
                 .iter()
-                .map(|((piece, attempt), t)| TaskReport {
-                    piece: piece.clone(),
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
                     attempt: *attempt,
                     phase: t.phase,
                     cause: t.cause,
@@ -195,8 +195,8 @@
         if !self.awake(now) {
             return;
         }
-        for ((piece, _), t) in self.tasks.iter_mut() {
-            let spec = &specs[&piece.job];
+        for ((task, _), t) in self.tasks.iter_mut() {
+            let spec = &specs[&task.job];
             if now < t.until {
                 continue;
             }
@@ -218,20 +218,20 @@
                     // The result is kept: a later start ends as done once it has its image. A gang
                     // completes as a whole.
                     let all = spec.shape == Shape::Gang;
-                    let pieces = if all {
-                        0..spec.pieces
+                    let tasks = if all {
+                        0..spec.tasks
                     } else {
-                        piece.index..piece.index + 1
+                        task.index..task.index + 1
                     };
-                    for index in pieces {
-                        let job = piece.job.clone();
+                    for index in tasks {
+                        let job = task.job.clone();
                         progress.insert(TaskId { job, index }, -1.0);
                     }
                     Self::end(t, Cause::Done)
                 }
                 TaskPhase::Saving => {
                     let ran = (now - t.running_from).secs();
-                    progress.insert(piece.clone(), (t.left_s - ran).max(0.0));
+                    progress.insert(task.clone(), (t.left_s - ran).max(0.0));
                     t.stored = true;
                     Self::end(t, Cause::Stopped);
                 }
@@ -254,22 +254,25 @@
         specs: &Specs,
         runs: &BTreeMap<JobId, f64>,
         progress: &mut BTreeMap<TaskId, f64>,
-        rigs: &[MachineTypeInfo],
+        machine_types: &[MachineTypeInfo],
     ) {
         self.changed = true;
         match order {
-            Order::Launch { piece, attempt } => {
-                if self.tasks.contains_key(&(piece.clone(), *attempt)) {
+            Order::Launch { task, attempt } => {
+                if self.tasks.contains_key(&(task.clone(), *attempt)) {
                     return;
                 }
-                let spec = &specs[&piece.job];
-                let rig = rigs.iter().find(|r| r.name == self.rig).unwrap();
+                let spec = &specs[&task.job];
+                let machine_type = machine_types
+                    .iter()
+                    .find(|r| r.name == self.machine_type)
+                    .unwrap();
                 let fetch = if self.images.contains(&spec.image) {
                     0.0
                 } else {
-                    spec.image_gb / rig.fetch_gb_per_s * self.fetch_times
+                    spec.image_gb / machine_type.fetch_gb_per_s * self.fetch_times
                 };
-                let left_s = progress.get(piece).copied().unwrap_or(runs[&piece.job]);
+                let left_s = progress.get(task).copied().unwrap_or(runs[&task.job]);
                 let mut t = Task {
                     phase: TaskPhase::Fetching,
                     cause: None,
@@ -277,15 +280,15 @@
                     until: now + Millis::from_secs(fetch),
                     left_s: if self.sick {
                         0.5
-                    } else if runs[&piece.job] < 0.0 {
+                    } else if runs[&task.job] < 0.0 {
                         0.2
                     } else {
                         left_s
                     },
-                    fails: runs[&piece.job] < 0.0,
+                    fails: runs[&task.job] < 0.0,
                     running_from: now,
                 };
-                let other = |(p, _): &(TaskId, Attempt)| p == piece;
+                let other = |(p, _): &(TaskId, Attempt)| p == task;
                 if self
                     .tasks
                     .iter()
@@ -299,20 +302,20 @@
                     .filter(|(_, t)| t.phase != TaskPhase::Ended)
                     .map(|((p, _), _)| specs[&p.job].gpus)
                     .sum();
-                if used + spec.gpus > rig.gpus + 1e-9 {
+                if used + spec.gpus > machine_type.gpus + 1e-9 {
                     Self::end(&mut t, Cause::Full);
                 }
-                self.tasks.insert((piece.clone(), *attempt), t);
+                self.tasks.insert((task.clone(), *attempt), t);
             }
             Order::Stop {
-                piece,
+                task,
                 attempt,
                 grace_s,
             } => {
-                let Some(t) = self.tasks.get_mut(&(piece.clone(), *attempt)) else {
+                let Some(t) = self.tasks.get_mut(&(task.clone(), *attempt)) else {
                     return;
                 };
-                let spec = &specs[&piece.job];
+                let spec = &specs[&task.job];
                 match t.phase {
                     TaskPhase::Ended => {}
                     TaskPhase::Running if spec.checkpoint_s > 0.0 && *grace_s >= spec.save_s => {
@@ -323,8 +326,8 @@
                     _ => Self::end(t, Cause::Stopped),
                 }
             }
-            Order::Clear { piece, attempt } => {
-                let key = (piece.clone(), *attempt);
+            Order::Clear { task, attempt } => {
+                let key = (task.clone(), *attempt);
                 if self
                     .tasks
                     .get(&key)
@@ -362,7 +365,7 @@
             let Some(phases) = by_try.get(&key) else {
                 continue;
             };
-            let all = phases.len() == spec.pieces as usize;
+            let all = phases.len() == spec.tasks as usize;
             match t.phase {
                 TaskPhase::Waiting if all && !phases.contains(&TaskPhase::Fetching) => {
                     Worker::run(now, t)
