--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -173,6 +173,8 @@
     Written { seq: u64, epoch: Epoch },
     /// A write was certainly not executed, nor will be.
     NotWritten { seq: u64 },
+    /// A write was not executed since there were too many changes; none for so long.
+    WriteLimited { seq: u64, pause: Millis },
     /// A write was refused for what it is, and would be each time: too many operations, too large a value.
     WriteRejected { seq: u64 },
     /// A write's guards failed (these, if the service said which), or its outcome is unclear: the
@@ -347,6 +349,7 @@
             Event::ReturnFailed { hosts } => self.return_failed(now, &hosts),
             Event::Written { seq, epoch } => self.written(now, seq, epoch),
             Event::NotWritten { seq } => self.not_written(now, seq),
+            Event::WriteLimited { seq, pause } => self.write_limited(now, seq, pause),
             Event::WriteRejected { seq } => self.write_rejected(now, seq),
             Event::WriteUnclear { seq, failed } => self.write_unclear(now, seq, &failed),
             Event::Reread { seq, items } => self.reread(now, seq, items),
--- a/src/coordination/writer/outcomes.rs
+++ b/src/coordination/writer/outcomes.rs
@@ -131,6 +131,16 @@
         }
     }
 
+    /// The service takes no more changes for now. What may wait does so until the rate allowed to this
+    /// leader has come up again: leases, launches and ends of jobs go first.
+    pub(crate) fn write_limited(&mut self, now: Millis, seq: u64, pause: Millis) {
+        if matches!(&self.writer.flight, Flight::Writing { seq: s, .. } if *s == seq) {
+            self.writer.flight = Flight::None;
+            self.writer.not_before = now + pause;
+            self.writer.budget.empty(now);
+        }
+    }
+
     /// A write whose guards failed (these, if it is known which), or of which nothing is known.
     pub(crate) fn write_unclear(&mut self, now: Millis, seq: u64, failed: &[String]) {
         let Flight::Writing { seq: s, txn, .. } = &self.writer.flight else {
--- a/src/runtime/effects.rs
+++ b/src/runtime/effects.rs
@@ -5,7 +5,7 @@
 use super::Node;
 use crate::coordination::leadership::Authority;
 use crate::coordination::{Effect, Event};
-use crate::ids::HostId;
+use crate::ids::{HostId, Millis};
 use crate::protocol::cloud::{RentRequest, ReturnRequest};
 use crate::protocol::state::Item;
 use crate::protocol::workers::{Commands, Report};
@@ -15,6 +15,9 @@
 use rand::Rng;
 use std::time::Duration;
 
+/// The leader writes nothing for so long after the state service has refused a write for its rate, by
+/// chance: whoever else was refused comes again at another moment.
+const LIMITED_PAUSE_MS: std::ops::Range<i64> = 200..500;
 /// Between reads of finish marks: a takeover with many chains must not use up the service's rate.
 const BETWEEN_MARKS: Duration = Duration::from_millis(15);
 
@@ -24,6 +27,11 @@
             Ok(TxnOutcome::Applied(epoch)) => Event::Written { seq, epoch },
             Ok(TxnOutcome::Conflict(failed)) => Event::WriteUnclear { seq, failed },
             Err(StateError::Refused) => Event::NotWritten { seq },
+            Err(StateError::Limited) => {
+                let ms = rand::rng().random_range(LIMITED_PAUSE_MS);
+                let pause = Millis(ms);
+                Event::WriteLimited { seq, pause }
+            }
             Err(StateError::Rejected) => Event::WriteRejected { seq },
             Err(_) => Event::WriteUnclear {
                 seq,
--- a/src/runtime/state_client.rs
+++ b/src/runtime/state_client.rs
@@ -13,6 +13,8 @@
 pub enum StateError {
     /// Certainly not executed, nor will be.
     Refused,
+    /// The same, for there are too many requests or changes.
+    Limited,
     /// Not executed, nor would it be if it were sent again.
     Rejected,
     /// May have been executed, or may yet be.
@@ -75,11 +77,10 @@
             .send(method, &self.addr, path, body, deadline)
             .await
         {
-            Ok(a) if a.status == 503 || a.status == 429 => {
-                if a.status == 429 {
-                    tracing::info!(path, "the state service limits our rate");
-                }
-                Err(StateError::Refused)
+            Ok(a) if a.status == 503 => Err(StateError::Refused),
+            Ok(a) if a.status == 429 => {
+                tracing::info!(path, "the state service limits our rate");
+                Err(StateError::Limited)
             }
             Ok(a) => {
                 let now = self.began.elapsed().as_millis() as i64;
--- a/src/transport/budget.rs
+++ b/src/transport/budget.rs
@@ -33,6 +33,12 @@
         self.left(now) * self.burst
     }
 
+    /// Gives up what could be taken now.
+    pub fn empty(&mut self, now: Millis) {
+        self.left = 0.0;
+        self.at = now;
+    }
+
     /// Takes `n`, or nothing.
     pub fn take(&mut self, now: Millis, n: f64) -> bool {
         let passed = (now - self.at).secs().max(0.0);
--- a/tests/upgrade/repacking.rs
+++ b/tests/upgrade/repacking.rs
@@ -167,15 +167,9 @@
     }
 }
 
-/// Nobody said that the limits would be lowered: what is refused is not sent again unchanged, and the
-/// leader finds what the service takes.
-#[test]
-fn limits_lowered_without_notice_are_found() {
-    let mut store = large_pages();
-    let mut now = Millis(1_000);
-    let mut core = take_over(&store, now, 5, "");
-    // Jobs enough for transactions of many operations.
-    for n in 0..40 {
+/// Opens so many jobs that need `wk-900`.
+fn open_consumers(core: &mut Core, now: Millis, count: u32) {
+    for n in 0..count {
         let body = serde_json::json!({"ref": format!("wk-{n}"), "jobclass": "c", "crew": "blue",
             "shape": "array", "urgency": "normal", "pieces": 40, "cpus": 1, "gpus": 0, "ramGb": 1,
             "bundle": "i", "pullGb": 1, "together": false, "scatter": false, "loaners": false,
@@ -196,6 +190,17 @@
         };
         core.on(now, opened);
     }
+}
+
+/// Nobody said that the limits would be lowered: what is refused is not sent again unchanged, and the
+/// leader finds what the service takes.
+#[test]
+fn limits_lowered_without_notice_are_found() {
+    let mut store = large_pages();
+    let mut now = Millis(1_000);
+    let mut core = take_over(&store, now, 5, "");
+    // Jobs enough for transactions of many operations.
+    open_consumers(&mut core, now, 40);
     // All of them are to be cancelled with the one that they need.
     let marks = vec![(JobId::from("wk-900"), Some(FinalRecord::cancelled(1)))];
     core.on(now, Event::MarksRead { marks });
@@ -203,3 +208,50 @@
     assert!((1..=12).contains(&rejected), "{rejected} refused");
     assert_eq!(store.list(FINAL).len(), 40, "all marks are written");
 }
+
+/// The service has had too many changes: the leader writes nothing for as long as it is told, and then first
+/// what users wait for; pages that may wait do.
+#[test]
+fn a_limited_rate_delays_what_may_wait() {
+    let store = large_pages();
+    let mut now = Millis(1_000);
+    let mut core = take_over(&store, now, 5, ANNOUNCED);
+    open_consumers(&mut core, now, 1);
+    let marks = vec![(JobId::from("wk-900"), Some(FinalRecord::cancelled(1)))];
+    core.on(now, Event::MarksRead { marks });
+    let pause = Millis(250);
+    let mut refused_at = Vec::new();
+    let first = loop {
+        now = now + Millis(50);
+        assert!(now < Millis(20_000), "it never writes again");
+        let writes = core
+            .step(now)
+            .into_iter()
+            .filter_map(|effect| match effect {
+                Effect::Write { seq, txn } => Some((seq, txn)),
+                _ => None,
+            });
+        let Some((seq, txn)) = writes.last() else {
+            continue;
+        };
+        if refused_at.last().is_some_and(|t| now - *t < pause) {
+            panic!(
+                "it writes again after {:?}",
+                now - refused_at[refused_at.len() - 1]
+            );
+        }
+        if refused_at.len() == 3 {
+            break txn;
+        }
+        refused_at.push(now);
+        core.on(now, Event::WriteLimited { seq, pause });
+    };
+    let of = |prefix: &str| {
+        first
+            .apply
+            .iter()
+            .filter(|c| c.key().starts_with(prefix))
+            .count()
+    };
+    assert_eq!((of(FINAL), of(HOSTS)), (1, 0), "{first:?}");
+}
