--- a/tests/loopback/chains.rs
+++ b/tests/loopback/chains.rs
@@ -194,6 +194,11 @@
     let late = waiting_job("wk-000006", 1, json!(["wk-000005"]));
     assert_eq!(take(&fronts[2], &late), "aborted");
     assert_eq!(submit(&fronts[1], &late), Some(200));
+    // The one that is refused passes a submission on with its producers.
+    let passed_on = waiting_job("wk-000007", 1, json!(["wk-000002"]));
+    assert_eq!(take(&fronts[2], &passed_on), "queued");
+    let passed_on = waiting_job("wk-000008", 1, json!(["wk-000005"]));
+    assert_eq!(take(&fronts[2], &passed_on), "aborted");
     c.ways[first].refuse(false);
     for id in ["wk-000004", "wk-000006"] {
         assert_eq!(withdraw(&fronts[2], id), "aborted");
