--- /dev/null
+++ b/tests/stale_knowledge.rs
@@ -0,0 +1,214 @@
+//! The core alone: what it does rests on the newest that it knows, at the moment at which an answer leaves,
+//! and nothing that it has learnt is undone by an older record.
+
+#[path = "support/machine_type.rs"]
+mod machine_type;
+
+use chalklug::coordination::leadership::Lead;
+use chalklug::coordination::recovery::Inheritance;
+use chalklug::coordination::worker_sessions::CheckInAnswer;
+use chalklug::coordination::{Core, Effect, Event, Policy};
+use chalklug::ids::*;
+use chalklug::protocol::state::{Change, Item};
+use chalklug::protocol::users::parse_submission;
+use chalklug::protocol::workers::{Cause, Order, Report, TaskPhase, TaskReport};
+use chalklug::settings::*;
+use chalklug::storage::records::*;
+use machine_type::machine_type;
+use std::sync::Arc;
+
+const FORMER_TOKEN: u64 = 8;
+const TOKEN: u64 = 9;
+const ATTEMPT: Attempt = Attempt(7);
+const BEGAN: Millis = Millis(1000);
+
+fn policy() -> Arc<Policy> {
+    let text = r#"
+        teams = [{ name = "blue", gpus = 64.0, gpus_max = 64.0 }]
+        workers = { report_s = 5.0, lease_s = 26.0, gang_wait_s = 40.0, gang_peer_s = 4.0, cancel_s = 51.0 }
+        state = { rps = 150.0, write_rps = 30.0, value_kb = 4.0, txn_ops = 8 }
+        cloud = { rps = 6.0, list_lag_s = 6.0 }
+        quota = { cores = 0.1, memory_mb = 150.0, max_sockets = 300 }
+    "#;
+    Arc::new(Policy {
+        facts: toml::from_str(text).unwrap(),
+        operator: Operator::default(),
+        most_direct: 10,
+    })
+}
+
+fn job(n: u32) -> JobId {
+    JobId::from(format!("wk-{n}").as_str())
+}
+
+fn task(n: u32) -> TaskId {
+    TaskId::parse(&format!("wk-{n}/0")).unwrap()
+}
+
+fn host() -> HostId {
+    HostId::from("host-000001")
+}
+
+/// The open record of a job of one task.
+fn record(n: u32, after: &[u32]) -> OpenRecord {
+    let body = serde_json::json!({"ref": job(n).as_str(), "jobclass": "c", "crew": "blue",
+        "shape": "array", "urgency": "normal", "pieces": 1, "cpus": 1, "gpus": 1, "ramGb": 1,
+        "bundle": "i", "pullGb": 1, "together": false, "scatter": false, "loaners": false,
+        "guessS": 50, "markEveryS": 0, "markCostS": 0});
+    OpenRecord {
+        spec: parse_submission(body.to_string().as_bytes()).unwrap().spec,
+        at_ms: 0,
+        after: after.iter().map(|n| job(*n)).collect(),
+        edge_pages: 0,
+    }
+}
+
+fn item<T: serde::Serialize>(key: String, data: &T) -> Item {
+    Item {
+        key,
+        data: serde_json::to_value(data).unwrap(),
+        stamp: Stamp(1),
+        lease: None,
+    }
+}
+
+/// A new leader that finds these jobs open, and job 1 on record as running on the machine.
+fn leader(open: &[OpenRecord]) -> Core {
+    let mut machines = HostsPage {
+        kinds: vec![(MachineType::from("box"), Zone::from("a"), false)],
+        ..HostsPage::default()
+    };
+    machines.hosts.insert(host(), HostNote(0, 0, true, vec![]));
+    let mut starts = IntentsPage::default();
+    starts.add(&host(), &task(1), ATTEMPT);
+    starts
+        .jobs
+        .insert(job(1), JobTakes::of(&record(1, &[]).spec));
+    let found = Inheritance {
+        open: open
+            .iter()
+            .map(|r| (r.clone(), Stamp(1), Millis(0)))
+            .collect(),
+        hosts: vec![item(hosts_key(PageNo(0)), &machines)],
+        intents: vec![item(intents_key(PageNo(0)), &starts)],
+        machine_types: vec![machine_type(8.0)],
+        ..Inheritance::default()
+    };
+    let lead = Lead {
+        token: Token(TOKEN),
+        first: Token(TOKEN),
+        stamp: Stamp(2),
+        token_stamp: Stamp(2),
+        lease: LeaseId(1),
+        host_name: "n".into(),
+    };
+    Core::take_over(policy(), lead, BEGAN, found).unwrap()
+}
+
+/// A report with job 1 in that phase; None: the machine is empty.
+fn report(tick: u64, token: u64, phase: Option<TaskPhase>) -> Report {
+    let listed = phase.map(|phase| TaskReport {
+        task: task(1),
+        attempt: ATTEMPT,
+        phase,
+        cause: (phase == TaskPhase::Ended).then_some(Cause::Done),
+        stored: false,
+    });
+    Report {
+        host: host(),
+        endpoint: "10.1.0.1:9000".into(),
+        machine_type: MachineType::from("box"),
+        zone: Zone::from("a"),
+        spot: false,
+        session: Session(1),
+        tick: Tick(tick),
+        token: Token(token),
+        recall_s: None,
+        tasks: listed.into_iter().collect(),
+    }
+}
+
+/// Whether the answer, which renews the machine's lease, says that job 1 is to stop.
+fn stops(answer: &CheckInAnswer) -> bool {
+    let CheckInAnswer::Orders(orders) = answer else {
+        panic!("the report is answered: {answer:?}");
+    };
+    let stop = |o: &Order| matches!(o, Order::Stop { task: t, grace_s, .. } if *t == task(1) && *grace_s == 0.0);
+    orders.iter().any(stop)
+}
+
+/// Steps for so long, with every write carried out; what was written.
+fn settle(core: &mut Core, from: Millis, for_ms: i64) -> Vec<Change> {
+    let mut written = Vec::new();
+    for ms in (0..for_ms).step_by(100) {
+        let now = from + Millis(ms);
+        for effect in core.step(now) {
+            if let Effect::Write { seq, txn } = effect {
+                written.extend(txn.apply);
+                let epoch = Epoch(100 + seq);
+                core.on(now, Event::Written { seq, epoch });
+            }
+        }
+    }
+    written
+}
+
+/// Guards against a cancelled task whose lease the next leader renews before it has looked at the machine:
+/// if nothing reaches the machine after that, the task outlives `cancel_s`.
+#[test]
+fn a_new_leaders_first_answer_stops_tasks_of_jobs_that_are_over() {
+    let mut core = leader(&[]);
+    let first = report(1, FORMER_TOKEN, Some(TaskPhase::Running));
+    assert!(stops(&core.check_in(BEGAN, &first)));
+}
+
+/// Guards against the time between a cancellation that the leader has learnt of and its next step: with the
+/// processor short, thousands of answers leave in it.
+#[test]
+fn an_answer_between_a_cancellation_and_the_next_step_stops_the_task() {
+    let mut core = leader(&[record(1, &[])]);
+    let first = report(1, FORMER_TOKEN, Some(TaskPhase::Running));
+    assert!(!stops(&core.check_in(BEGAN, &first)));
+    settle(&mut core, BEGAN, 300);
+    let now = BEGAN + Millis(300);
+    core.on(now, Event::JobClosed { id: job(1) });
+    let second = report(2, TOKEN, Some(TaskPhase::Running));
+    assert!(stops(&core.check_in(now, &second)));
+    // One that a direct answer has overtaken renews the lease all the same.
+    let direct_answer = Event::DirectAnswered {
+        host: host(),
+        seq: 0,
+        report: Box::new(report(4, TOKEN, Some(TaskPhase::Running))),
+    };
+    core.on(now, direct_answer);
+    let overtaken = report(3, TOKEN, Some(TaskPhase::Running));
+    assert!(stops(&core.check_in(now, &overtaken)));
+}
+
+/// Guards against changes that come twice (a page of them whose taking in failed halfway is asked for again, and the
+/// first changes after a takeover reach back before the list): a job that is done is opened again, and its end is then
+/// taken for a cancellation, which cancels all jobs that need it.
+#[test]
+fn changes_that_come_twice_cancel_nobody() {
+    let mut core = leader(&[record(1, &[]), record(2, &[1])]);
+    core.check_in(BEGAN, &report(1, TOKEN, Some(TaskPhase::Running)));
+    core.check_in(BEGAN, &report(2, TOKEN, Some(TaskPhase::Ended)));
+    let written = settle(&mut core, BEGAN, 3_000);
+    let finishes = |c: &Change| c.key() == final_key(&job(1));
+    assert!(written.iter().any(finishes), "job 1 is done: {written:?}");
+    // Cleared from its machine, job 1 is forgotten.
+    let now = BEGAN + Millis(3_000);
+    core.check_in(now, &report(3, TOKEN, None));
+    settle(&mut core, now, 3_000);
+    let now = now + Millis(3_000);
+    let again = Event::JobOpened {
+        record: Box::new(record(1, &[])),
+        stamp: Stamp(1),
+        submitted: Millis(0),
+    };
+    core.on(now, again);
+    core.on(now, Event::JobClosed { id: job(1) });
+    let written = settle(&mut core, now, 5_000);
+    let of_consumer = |c: &Change| c.key() == final_key(&job(2));
+    assert!(!written.iter().any(of_consumer), "{written:?}");
+}
