Every answer to a check-in follows a review of its machine: it renews a lease only with its stops

Cause: stops were decided in a step, a quarter of the machines a second; answers that renew leases left in between. A new leader's first answers, and those between a cancellation and the next step, kept tasks of cancelled jobs alive for another lease.

--- a/src/coordination/stops.rs
+++ b/src/coordination/stops.rs
@@ -17,7 +17,13 @@
         self.stop_broken_gangs(now);
     }
 
-    fn review(&mut self, now: Millis, host: &HostId) {
+    /// Looks at one machine's starts with all that is known now.
+    ///
+    /// Guards against an answer that renews a lease without saying what is to stop: a new leader answered
+    /// machines with tasks of jobs cancelled before its time, or one short of processor time answered
+    /// between a cancellation and its next step; then nothing reached the machines any more, and the tasks
+    /// outlived `cancel_s` (docs/incidents/production-size.md). So each check-in is answered after a review.
+    pub(super) fn review(&mut self, now: Millis, host: &HostId) {
         let silence = self.policy.silence();
         let Some(m) = self.machines.get_mut(host) else {
             return;
--- a/src/coordination/worker_sessions.rs
+++ b/src/coordination/worker_sessions.rs
@@ -60,6 +60,7 @@
             return CheckInAnswer::Refuse;
         }
         let fresh = self.take_report(now, report, ReportChannel::CheckIn);
+        self.review(now, &report.host);
         let token = self.lead.token;
         let Some(m) = self.machines.get_mut(&report.host) else {
             return CheckInAnswer::Refuse;
