What a closed job was is said by its finish mark alone; a confirmed cancellation is an event of its own

Cause: the end of a job that was not complete was taken for a cancellation. Changes can come twice, so a job that was done and forgotten could open once more and close, and the jobs that need it were cancelled.

--- a/src/coordination/chains.rs
+++ b/src/coordination/chains.rs
@@ -20,7 +20,8 @@
     Finished,
     /// Its cancellation is durable.
     Cancelled,
-    /// Its open record is gone: by a write of ours whose answer is still to come, or by a cancellation.
+    /// Its open record is gone: by a write of ours whose answer is still to come, by a cancellation, or
+    /// long ago, if what we see is old. Its finish mark says which.
     Unknown,
 }
 
@@ -97,16 +98,14 @@
     }
 
     /// A job is no longer open.
+    ///
+    /// Guards against a cancellation inferred from what is known of the tasks: changes can come twice, so
+    /// that a job which was done and forgotten opens once more without its tasks, and closes; the jobs that
+    /// need it were cancelled. Where the closure is unknown, only the finish mark says what it was.
     pub(crate) fn job_closed(&mut self, now: Millis, id: &JobId, closure: Closure) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        if !self.jobs.contains_key(id) {
             return;
-        };
-        // Every task that is done is known here: of a job that is not complete, only a cancellation can
-        // have removed the open record, for finishing it is ours alone.
-        let closure = match closure {
-            Closure::Unknown if !job.complete() => Closure::Cancelled,
-            known => known,
-        };
+        }
         match closure {
             Closure::Finished => self.graph.finished(id, now),
             Closure::Cancelled => self.graph.cancelled(id),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -135,6 +135,8 @@
     },
     /// A job is no longer open: cancelled, or finished by us.
     JobClosed { id: JobId },
+    /// A controller has confirmed that a job is cancelled: its mark is written.
+    JobCancelled { id: JobId },
     /// Finish marks as read; None: the job has none.
     MarksRead {
         marks: Vec<(JobId, Option<FinalRecord>)>,
@@ -328,6 +330,7 @@
                 submitted,
             } => self.job_opened(now, *record, stamp, submitted),
             Event::JobClosed { id } => self.job_closed(now, &id, Closure::Unknown),
+            Event::JobCancelled { id } => self.job_closed(now, &id, Closure::Cancelled),
             Event::MarksRead { marks } => self.marks_read(now, marks),
             Event::OpenJobs { jobs } => self.open_jobs(now, jobs),
             Event::DirectAnswered { host, seq, report } => {
--- a/src/runtime/peers.rs
+++ b/src/runtime/peers.rs
@@ -91,8 +91,8 @@
     /// What a confirmed cancellation means on this controller. It is final.
     fn job_cancelled(&self, id: &JobId, tasks: u32) {
         lock(&self.finals).put(id, JobPhase::Cancelled, tasks);
-        let closed = Event::JobClosed { id: id.clone() };
-        self.leader.event(self.now(), closed);
+        let cancelled = Event::JobCancelled { id: id.clone() };
+        self.leader.event(self.now(), cancelled);
     }
 }
 
--- a/tests/world/mod.rs
+++ b/tests/world/mod.rs
@@ -258,8 +258,8 @@
         // Whoever confirmed it tells its siblings.
         if let Some(leader) = self.core.as_ref().map(Core::first_token) {
             if self.campaigns && self.now >= self.peers_cut {
-                let closed = Event::JobClosed { id: id.clone() };
-                self.send(10, Message::ToCore(leader, closed));
+                let cancelled = Event::JobCancelled { id: id.clone() };
+                self.send(10, Message::ToCore(leader, cancelled));
             }
         }
         true
