--- a/src/runtime/leader.rs
+++ b/src/runtime/leader.rs
@@ -1,20 +1,19 @@
-//! Campaigning for the leadership, and the tasks of a leader: the lease, handing over, the step loop.
-//! What it reads of the jobs is in `following.rs`, carrying out what the core decides in `effects.rs`.
+//! The tasks of a leader: the lease, handing over, the step loop. How a controller becomes the leader is in
+//! `campaign.rs`, what it reads of the jobs in `following.rs`, carrying out what the core decides in
+//! `effects.rs`.
 
+use super::campaign::Won;
 use super::cloud::list_hosts;
 use super::effects::carry_out;
 use super::following::{inherit, watch_jobs};
-use super::state_client::{StateError, TxnOutcome};
+use super::state_client::StateError;
 use super::{lock, Node};
-use crate::coordination::leadership::{should_hand_over, silence_bound, Authority, Lead};
+use crate::coordination::leadership::{should_hand_over, silence_bound, Authority};
 use crate::coordination::worker_sessions::CheckInAnswer;
 use crate::coordination::{Core, Effect, Event};
-use crate::ids::{JobId, LeaseId, Millis, Stamp, Token};
+use crate::ids::{JobId, LeaseId, Millis, Token};
 use crate::protocol::peers::{PeerReply, PeerRequest};
-use crate::protocol::state::{Change, Guard, Txn};
 use crate::protocol::workers::{Order, Report};
-use crate::storage::records::{LeadRecord, LEAD, TOKEN};
-use rand::Rng;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{watch, Notify};
@@ -47,10 +46,10 @@
     /// Whether we have the leader key but have not taken over yet.
     taking: watch::Sender<bool>,
     /// As read at that moment: it counts only for so long.
-    other: Mutex<Option<(String, Millis)>>,
+    pub(super) other: Mutex<Option<(String, Millis)>>,
     wake: Notify,
     /// We handed over, and don't campaign before this.
-    stand_back: Mutex<Option<Millis>>,
+    pub(super) stand_back: Mutex<Option<Millis>>,
 }
 
 impl LeaderCell {
@@ -116,122 +115,8 @@
 /// The name of the leader counts for this long after it was read.
 const OTHER_FRESH: Millis = Millis(3000);
 
-/// Campaigns, leads, and campaigns again, until stopped.
-pub async fn campaign(node: Arc<Node>) {
-    while !node.stop.is_cancelled() {
-        let asked = node.now();
-        match node.state.get(LEAD).await {
-            Ok(item) => {
-                let held = item.as_ref().and_then(|i| {
-                    serde_json::from_value::<LeadRecord>(i.data.clone())
-                        .ok()
-                        .map(|r| r.host_name)
-                });
-                let mine = held.as_deref() == Some(&node.settings.platform.host_name);
-                *lock(&node.leader.other) = held.filter(|_| !mine).map(|name| (name, asked));
-                // A leader key with our own name is that of our predecessor on this host, whose
-                // process has ended: there is no need to wait for its lease.
-                let now = node.now();
-                let back = (*lock(&node.leader.stand_back)).filter(|until| now < *until);
-                let wait = back
-                    .is_some_and(|until| item.is_none() && until - now > STAND_BACK - NOBODY_ELSE);
-                if (item.is_none() || mine) && !wait {
-                    let stamp = item.map(|i| i.stamp).unwrap_or_default();
-                    if let Some(won) = take_lead(&node, stamp).await {
-                        *lock(&node.leader.other) = None;
-                        lead(&node, won).await;
-                        continue;
-                    }
-                }
-            }
-            Err(_) => *lock(&node.leader.other) = None,
-        }
-        let pause = Duration::from_millis(500 + rand::rng().random_range(0..300));
-        tokio::select! {
-            _ = node.stop.cancelled() => {}
-            _ = tokio::time::sleep(pause) => {}
-        }
-    }
-}
-
-struct Won {
-    lead: Lead,
-    authority: Arc<Authority>,
-}
-
-/// Tries to take the leader key, raising the durable token in the same transaction.
-async fn take_lead(node: &Node, lead_stamp: Stamp) -> Option<Won> {
-    let life = node.settings.leader.life;
-    let sent = node.now();
-    let lease = node.state.grant(life.0 as u64).await.ok()?;
-    let won = take_with(node, lead_stamp, lease, sent).await;
-    if won.is_none() {
-        // A late copy of our transaction can't take the key for a lease that has ended.
-        node.state.revoke(lease).await;
-    }
-    won
-}
-
-async fn take_with(node: &Node, lead_stamp: Stamp, lease: LeaseId, sent: Millis) -> Option<Won> {
-    let old = node.state.get(TOKEN).await.ok()?;
-    let (last, token_stamp) = match old {
-        Some(i) => (i.data.as_u64()?, i.stamp),
-        None => (0, Stamp(0)),
-    };
-    let token = Token(last + 1);
-    let record = LeadRecord {
-        host_name: node.settings.platform.host_name.clone(),
-        token,
-    };
-    let txn = Txn {
-        guards: vec![
-            Guard {
-                key: LEAD.into(),
-                stamp: lead_stamp,
-            },
-            Guard {
-                key: TOKEN.into(),
-                stamp: token_stamp,
-            },
-        ],
-        apply: vec![
-            Change::Put {
-                put: LEAD.into(),
-                data: serde_json::to_value(&record).ok()?,
-                lease: Some(lease),
-            },
-            Change::put(TOKEN.into(), token.0.into()),
-        ],
-    };
-    let (stamp, token_stamp) = match node.state.txn(&txn).await {
-        Ok(TxnOutcome::Applied(epoch)) => (Stamp(epoch.0), Stamp(epoch.0)),
-        Err(StateError::Unclear) => {
-            // Only what is read settles it: the key carries our lease and this token, or not.
-            let item = node.state.get(LEAD).await.ok()??;
-            let record: LeadRecord = serde_json::from_value(item.data).ok()?;
-            if item.lease != Some(lease) || record.token != token {
-                return None;
-            }
-            // Both keys were written by the same transaction.
-            (item.stamp, item.stamp)
-        }
-        _ => return None,
-    };
-    Some(Won {
-        lead: Lead {
-            token,
-            first: token,
-            stamp,
-            token_stamp,
-            lease,
-            host_name: record.host_name,
-        },
-        authority: Arc::new(Authority::new(node.settings.leader, sent)),
-    })
-}
-
 /// Leads until authority is lost.
-async fn lead(node: &Arc<Node>, won: Won) {
+pub(super) async fn lead(node: &Arc<Node>, won: Won) {
     let end = node.stop.child_token();
     let (first, lease) = (won.lead.first, won.lead.lease);
     tracing::info!(token = %first, "leading");
@@ -371,8 +256,7 @@
 }
 
 /// After handing over we don't campaign for this long, unless nobody else takes the lead.
-const STAND_BACK: Millis = Millis(20_000);
-const NOBODY_ELSE: Millis = Millis(4_000);
+pub(super) const STAND_BACK: Millis = Millis(20_000);
 
 /// Tells siblings the task counts, for display in their answers to polls.
 async fn tell_counts(node: Arc<Node>, end: CancellationToken) {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,5 +1,6 @@
 //! The long-lived tasks of one controller: all I/O around the decision core.
 
+mod campaign;
 pub mod catalog;
 mod cloud;
 pub mod copy;
@@ -144,7 +145,7 @@
         tokio::spawn(copy::keep(node.clone())),
         tokio::spawn(peers::look(node.clone())),
         tokio::spawn(peers::tell_cancelled(node.clone())),
-        tokio::spawn(leader::campaign(node.clone())),
+        tokio::spawn(campaign::campaign(node.clone())),
     ];
     for task in tasks {
         if let Err(e) = task.await {
