Log what each action rests on; a command leaves without launches that are no longer wanted

Who leads with which version, from when and why no longer; what was read, at which epoch and how fast; each launch and stop as it leaves with its token and the age of the view (debug); ten-second counts of the leader's activity, its longest step and lag. Another path of the same flaw: direct commands decided before a cancellation leave without its launches, with a test.

--- a/src/coordination/chains.rs
+++ b/src/coordination/chains.rs
@@ -161,6 +161,9 @@
         if let Some(at) = release.at {
             job.ready = at.min(now).max(job.submitted);
         }
+        if let Some(last_mark) = release.at {
+            tracing::debug!(job = %release.id, last_mark_ms = last_mark.0, "released by the marks of its producers");
+        }
         let (spec, ready) = (job.spec.clone(), job.ready);
         self.note_arrival(&spec, ready);
         self.note_size(&spec.class, spec.tasks);
--- a/src/coordination/leadership.rs
+++ b/src/coordination/leadership.rs
@@ -19,6 +19,17 @@
     pub host_name: String,
 }
 
+/// Why a leader may not act.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lapse {
+    /// It gave its authority up, or a record or a worker showed it that somebody else leads.
+    Resigned,
+    /// No touch of its lease that was sent lately has succeeded.
+    LeaseOver,
+    /// What it knows of the open jobs is too old.
+    ViewTooOld,
+}
+
 /// A leader's right to act. It ends with the earlier of two:
 ///
 /// - the moment the last successful touch of the lease was *sent*, plus the lease's life, less a
@@ -75,9 +86,25 @@
 
     /// Whether the leader may act at this moment.
     pub fn holds(&self, now: Millis) -> bool {
-        !self.resigned.load(Ordering::Relaxed)
-            && now.0 < self.leased_until.load(Ordering::Relaxed)
-            && now.0 < self.known_until.load(Ordering::Relaxed)
+        self.lapse(now).is_none()
+    }
+
+    /// Why the leader may not act at this moment; None if it may.
+    pub fn lapse(&self, now: Millis) -> Option<Lapse> {
+        if self.resigned.load(Ordering::Relaxed) {
+            return Some(Lapse::Resigned);
+        }
+        if now.0 >= self.leased_until.load(Ordering::Relaxed) {
+            return Some(Lapse::LeaseOver);
+        }
+        let too_old = now.0 >= self.known_until.load(Ordering::Relaxed);
+        too_old.then_some(Lapse::ViewTooOld)
+    }
+
+    /// How long ago the last answered request for the open jobs was sent.
+    pub fn view_age(&self, now: Millis) -> Millis {
+        let known_until = Millis(self.known_until.load(Ordering::Relaxed));
+        now - (known_until - self.times.max_staleness)
     }
 }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -279,6 +279,14 @@
     pub(crate) image_room: BTreeMap<Image, f64>,
 }
 
+/// How many starts the ledger lists, for the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StartsListed {
+    pub all: usize,
+    /// Of jobs that are not open any more: they are to be stopped.
+    pub of_closed_jobs: usize,
+}
+
 /// Counts of one job, for display.
 pub type JobCounts = (JobId, u32, u32);
 
@@ -299,6 +307,17 @@
         self.machines.values().filter(up).count()
     }
 
+    /// Starts that may be on machines, and those of them whose job is not open any more.
+    pub fn starts_listed(&self) -> StartsListed {
+        let mut listed = StartsListed::default();
+        for start in self.machines.values().flat_map(|m| m.starts.values()) {
+            let open = self.jobs.get(&start.task.job).is_some_and(|j| !j.over);
+            listed.all += 1;
+            listed.of_closed_jobs += usize::from(!open);
+        }
+        listed
+    }
+
     pub(crate) fn seq(&mut self) -> u64 {
         self.next_seq += 1;
         self.next_seq
--- a/src/coordination/orders.rs
+++ b/src/coordination/orders.rs
@@ -121,6 +121,22 @@
         orders
     }
 
+    /// The orders of a direct command with what is known as it leaves: launches of tasks that are no longer
+    /// wanted are left out.
+    ///
+    /// Guards against a command that waits for its turn on a busy processor while its job is cancelled. The
+    /// answer to it lists no such task, so the start is dropped as one that was never launched.
+    pub fn still_wanted(&self, mut orders: Vec<Order>) -> Vec<Order> {
+        orders.retain(|order| match order {
+            Order::Launch { task, .. } => {
+                let job = self.jobs.get(&task.job);
+                job.is_some_and(|j| j.wants(task.index))
+            }
+            Order::Stop { .. } | Order::Clear { .. } => true,
+        });
+        orders
+    }
+
     /// Launches and stops that needn't wait for the next check-in go straight to the worker: one
     /// command at a time on each machine, and a bounded number of them at once.
     pub(crate) fn push_direct(&mut self, now: Millis) {
--- /dev/null
+++ b/src/runtime/activity.rs
@@ -0,0 +1,93 @@
+//! What a leader has done and how far behind it was, added up and logged every ten seconds: a few numbers,
+//! however many machines there are.
+
+use super::lock;
+use crate::coordination::Effect;
+use crate::ids::Millis;
+use crate::protocol::workers::Order;
+use std::sync::Mutex;
+
+/// Between two lines of the log.
+const LOG_EVERY: Millis = Millis(10_000);
+
+/// What has been counted since the last line.
+#[derive(Debug, Default)]
+struct Counts {
+    since: Millis,
+    answers: u32,
+    launches: u32,
+    stops: u32,
+    commands: u32,
+    writes: u32,
+    longest_step: Millis,
+    longest_lag: Millis,
+    oldest_view: Millis,
+}
+
+/// The activity of one leadership.
+#[derive(Debug, Default)]
+pub struct Activity {
+    counts: Mutex<Counts>,
+}
+
+impl Activity {
+    /// A check-in was answered with these orders, on a view of the open jobs of that age.
+    pub fn answered(&self, orders: &[Order], view_age: Millis) {
+        let mut counts = lock(&self.counts);
+        counts.answers += 1;
+        counts.oldest_view = counts.oldest_view.max(view_age);
+        counts.add_orders(orders);
+    }
+
+    /// A step took so long, and began so much later than it was due.
+    pub fn stepped(&self, effects: &[Effect], took: Millis, lag: Millis) {
+        let mut counts = lock(&self.counts);
+        counts.longest_step = counts.longest_step.max(took);
+        counts.longest_lag = counts.longest_lag.max(lag);
+        for effect in effects {
+            match effect {
+                Effect::Direct { orders, .. } => {
+                    counts.commands += 1;
+                    counts.add_orders(orders);
+                }
+                Effect::Write { .. } => counts.writes += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Logs what has been counted, if it is time, and begins anew.
+    pub fn log(&self, now: Millis) {
+        let mut counts = lock(&self.counts);
+        if now - counts.since < LOG_EVERY {
+            return;
+        }
+        tracing::info!(
+            answers = counts.answers,
+            launches = counts.launches,
+            stops = counts.stops,
+            commands = counts.commands,
+            writes = counts.writes,
+            longest_step_ms = counts.longest_step.0,
+            longest_lag_ms = counts.longest_lag.0,
+            oldest_view_ms = counts.oldest_view.0,
+            "activity"
+        );
+        *counts = Counts {
+            since: now,
+            ..Counts::default()
+        };
+    }
+}
+
+impl Counts {
+    fn add_orders(&mut self, orders: &[Order]) {
+        for order in orders {
+            match order {
+                Order::Launch { .. } => self.launches += 1,
+                Order::Stop { .. } => self.stops += 1,
+                Order::Clear { .. } => {}
+            }
+        }
+    }
+}
--- a/src/runtime/following.rs
+++ b/src/runtime/following.rs
@@ -111,6 +111,8 @@
         };
         match taken {
             Ok(page) => {
+                let (age_ms, changes) = ((node.now() - asked).0, page.news.len());
+                tracing::debug!(since = %since, epoch = %page.epoch, age_ms, changes, "open jobs followed");
                 since = page.epoch;
                 authority.knows(asked);
                 // Changes come in bunches: a short pause spares requests.
@@ -126,6 +128,8 @@
                         Err(e) => Err(e),
                     };
                     if let Ok((jobs, epoch)) = listed {
+                        let age_ms = (node.now() - asked).0;
+                        tracing::info!(reason = ?e, since = %since, epoch = %epoch, age_ms, jobs = jobs.len(), "open jobs listed again after a gap");
                         node.leader.event(node.now(), Event::OpenJobs { jobs });
                         since = epoch;
                         authority.knows(asked);
--- a/src/runtime/leader.rs
+++ b/src/runtime/leader.rs
@@ -2,6 +2,7 @@
 //! `campaign.rs`, what it reads of the jobs in `following.rs`, carrying out what the core decides in
 //! `effects.rs`.
 
+use super::activity::Activity;
 use super::campaign::Won;
 use super::cloud::list_hosts;
 use super::effects::carry_out;
@@ -11,7 +12,7 @@
 use crate::coordination::leadership::{should_hand_over, silence_bound, Authority};
 use crate::coordination::worker_sessions::CheckInAnswer;
 use crate::coordination::{Core, Effect, Event};
-use crate::ids::{JobId, LeaseId, Millis, Token};
+use crate::ids::{HostId, JobId, LeaseId, Millis, Token};
 use crate::protocol::peers::{PeerReply, PeerRequest};
 use crate::protocol::workers::{Order, Report};
 use std::sync::{Arc, Mutex};
@@ -23,6 +24,33 @@
 struct Active {
     core: Core,
     authority: Arc<Authority>,
+    activity: Arc<Activity>,
+}
+
+/// What carries orders to a worker.
+#[derive(Clone, Copy, Debug)]
+enum Carrier {
+    CheckIn,
+    Command,
+}
+
+impl Active {
+    /// Each launch and stop as it leaves, and what it rests on.
+    fn log_orders(&self, now: Millis, carrier: Carrier, host: &HostId, orders: &[Order]) {
+        let token = self.core.token();
+        let view_age_ms = self.authority.view_age(now).0;
+        for order in orders {
+            match order {
+                Order::Launch { task, attempt } => {
+                    tracing::debug!(%host, %task, %attempt, ?carrier, %token, view_age_ms, "launch leaves");
+                }
+                Order::Stop { task, attempt, .. } => {
+                    tracing::debug!(%host, %task, %attempt, ?carrier, %token, view_age_ms, "stop leaves");
+                }
+                Order::Clear { .. } => {}
+            }
+        }
+    }
 }
 
 /// What a worker's check-in is answered with.
@@ -89,10 +117,14 @@
                 let answer = a.core.check_in(now, report);
                 self.wake.notify_one();
                 return match answer {
-                    CheckInAnswer::Orders(orders) => CheckIn::Orders {
-                        token: a.core.token(),
-                        orders,
-                    },
+                    CheckInAnswer::Orders(orders) => {
+                        a.log_orders(now, Carrier::CheckIn, &report.host, &orders);
+                        a.activity.answered(&orders, a.authority.view_age(now));
+                        CheckIn::Orders {
+                            token: a.core.token(),
+                            orders,
+                        }
+                    }
                     CheckInAnswer::Refuse => CheckIn::GoTo(None),
                 };
             }
@@ -119,7 +151,8 @@
 pub(super) async fn lead(node: &Arc<Node>, won: Won) {
     let end = node.stop.child_token();
     let (first, lease) = (won.lead.first, won.lead.lease);
-    tracing::info!(token = %first, "leading");
+    let began = node.now();
+    tracing::info!(token = %first, version = env!("CARGO_PKG_VERSION"), "leading");
     let renewing = tokio::spawn(renew(
         node.clone(),
         won.authority.clone(),
@@ -143,14 +176,28 @@
     match core {
         Some((core, epoch, jobs)) if won.authority.holds(node.now()) => {
             won.authority.knows(asked);
+            let (machines, starts) = (core.machines_up(), core.starts_listed());
+            let activity = Arc::new(Activity::default());
             *lock(&node.leader.active) = Some(Active {
                 core,
                 authority: won.authority.clone(),
+                activity: activity.clone(),
             });
             node.leader.taking.send_replace(false);
-            tracing::info!(token = %first, jobs, "took over");
+            let read_ms = (node.now() - asked).0;
+            tracing::info!(
+                token = %first,
+                epoch = %epoch,
+                read_ms,
+                jobs,
+                machines,
+                starts = starts.all,
+                starts_of_closed_jobs = starts.of_closed_jobs,
+                "took over"
+            );
             let mut tasks = tokio::task::JoinSet::new();
-            tasks.spawn(steps(node.clone(), won.authority.clone(), end.clone()));
+            let authority = won.authority.clone();
+            tasks.spawn(steps(node.clone(), authority, activity, end.clone()));
             let authority = won.authority.clone();
             tasks.spawn(watch_jobs(node.clone(), authority, epoch, end.clone()));
             tasks.spawn(list_hosts(node.clone(), end.clone()));
@@ -162,12 +209,20 @@
         }
         _ => tracing::info!(token = %first, "could not take over"),
     }
+    let ended = node.now();
+    let (lapse, view_age) = (won.authority.lapse(ended), won.authority.view_age(ended));
     won.authority.resign();
     *lock(&node.leader.active) = None;
     node.leader.taking.send_replace(false);
     end.cancel();
     let _ = renewing.await;
-    tracing::info!(token = %first, "leading no more");
+    tracing::info!(
+        token = %first,
+        led_ms = (ended - began).0,
+        ?lapse,
+        view_age_ms = view_age.0,
+        "leading no more"
+    );
     // Others needn't wait for a lease that we don't use. Everything of ours has stopped by now.
     node.state.revoke(lease).await;
 }
@@ -280,12 +335,21 @@
     }
 }
 
+/// Events are collected for so long before a step.
+const BUNCH: Millis = Millis(10);
+
 /// Lets the core decide, soon after events and a few times a second, and carries out its effects.
-async fn steps(node: Arc<Node>, authority: Arc<Authority>, end: CancellationToken) {
+async fn steps(
+    node: Arc<Node>,
+    authority: Arc<Authority>,
+    activity: Arc<Activity>,
+    end: CancellationToken,
+) {
     loop {
         let _ = tokio::time::timeout(Duration::from_millis(250), node.leader.wake.notified()).await;
         // Events come in bunches; one decision for all of them.
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        let due = node.now() + BUNCH;
+        tokio::time::sleep(Duration::from_millis(BUNCH.0 as u64)).await;
         let now = node.now();
         if end.is_cancelled() || !authority.holds(now) {
             end.cancel();
@@ -295,6 +359,8 @@
             Some(a) => a.core.step(now),
             None => return,
         };
+        activity.stepped(&effects, node.now() - now, now - due);
+        activity.log(now);
         for effect in effects {
             if let Effect::StepDown { why } = effect {
                 tracing::info!(why, "stepping down");
@@ -306,6 +372,7 @@
             tokio::spawn(async move {
                 // Authority is checked as each effect leaves, not only when it was decided.
                 if !end.is_cancelled() && authority.holds(node.now()) {
+                    let effect = node.leader.as_it_leaves(node.now(), effect);
                     if let Some(event) = carry_out(&node, &authority, effect).await {
                         if !end.is_cancelled() {
                             node.leader.event_of(node.now(), &authority, event);
@@ -318,6 +385,17 @@
 }
 
 impl LeaderCell {
+    /// An effect with what is known as it leaves, which may be some time after it was decided.
+    fn as_it_leaves(&self, now: Millis, mut effect: Effect) -> Effect {
+        if let Effect::Direct { host, orders, .. } = &mut effect {
+            if let Some(active) = lock(&self.active).as_ref() {
+                *orders = active.core.still_wanted(std::mem::take(orders));
+                active.log_orders(now, Carrier::Command, host, orders);
+            }
+        }
+        effect
+    }
+
     /// Hands over an outcome, if the leadership that asked for it is still the one going on.
     fn event_of(&self, now: Millis, authority: &Arc<Authority>, event: Event) {
         let same = lock(&self.active)
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -1,5 +1,6 @@
 //! The long-lived tasks of one controller: all I/O around the decision core.
 
+pub mod activity;
 mod campaign;
 pub mod catalog;
 mod cloud;
--- a/src/runtime/users.rs
+++ b/src/runtime/users.rs
@@ -377,7 +377,8 @@
             ],
         };
         match node.state.txn(&txn).await {
-            Ok(TxnOutcome::Applied(_)) => {
+            Ok(TxnOutcome::Applied(epoch)) => {
+                tracing::debug!(job = %id, epoch = %epoch, opened = %stamp, "cancellation confirmed");
                 node.cancelled(&id, tasks);
                 return accepted(200, &id, JobPhase::Cancelled);
             }
--- a/tests/stale_knowledge.rs
+++ b/tests/stale_knowledge.rs
@@ -185,6 +185,36 @@
     assert!(stops(&core.check_in(now, &overtaken)));
 }
 
+/// Guards against a direct command that was decided before a cancellation and leaves after it.
+#[test]
+fn a_command_leaves_without_launches_of_jobs_that_closed_meanwhile() {
+    let mut core = leader(&[record(1, &[]), record(2, &[])]);
+    core.check_in(BEGAN, &report(1, TOKEN, Some(TaskPhase::Running)));
+    let mut commands = Vec::new();
+    for ms in (0..3_000).step_by(100) {
+        let now = BEGAN + Millis(ms);
+        for effect in core.step(now) {
+            match effect {
+                Effect::Write { seq, .. } => {
+                    let epoch = Epoch(100 + seq);
+                    core.on(now, Event::Written { seq, epoch });
+                }
+                Effect::Direct { orders, .. } => commands.push(orders),
+                _ => {}
+            }
+        }
+    }
+    let launch = Order::Launch {
+        task: task(2),
+        attempt: Attempt((TOKEN << 32) | 1),
+    };
+    assert_eq!(commands, [vec![launch.clone()]]);
+    assert_eq!(core.still_wanted(commands[0].clone()), [launch]);
+    core.on(BEGAN + Millis(3_000), Event::JobCancelled { id: job(2) });
+    assert_eq!(core.still_wanted(commands[0].clone()), []);
+    core.audit().unwrap();
+}
+
 /// Guards against changes that come twice (a page of them whose taking in failed halfway is asked for again, and the
 /// first changes after a takeover reach back before the list): a job that is done is opened again, and its end is then
 /// taken for a cancellation, which cancels all jobs that need it.
