--- /dev/null
+++ b/tests/support/leader.rs
@@ -0,0 +1,38 @@
+//! A leader's settings and leadership, for tests of the core alone.
+
+use chalklug::coordination::leadership::Lead;
+use chalklug::coordination::Policy;
+use chalklug::ids::{LeaseId, Stamp, Token};
+use chalklug::settings::Operator;
+use std::sync::Arc;
+
+/// One team with so many GPUs guaranteed, and at most twice as many; so many direct commands at once.
+pub fn policy(gpus: f64, most_direct: usize) -> Arc<Policy> {
+    let text = format!(
+        r#"
+        teams = [{{ name = "blue", gpus = {gpus:.1}, gpus_max = {:.1} }}]
+        workers = {{ report_s = 5.0, lease_s = 26.0, gang_wait_s = 40.0, gang_peer_s = 4.0, cancel_s = 51.0 }}
+        state = {{ rps = 150.0, write_rps = 30.0, value_kb = 4.0, txn_ops = 8 }}
+        cloud = {{ rps = 6.0, list_lag_s = 6.0 }}
+        quota = {{ cores = 0.1, memory_mb = 150.0, max_sockets = 3000 }}
+    "#,
+        gpus * 2.0
+    );
+    Arc::new(Policy {
+        facts: toml::from_str(&text).unwrap(),
+        operator: Operator::default(),
+        most_direct,
+    })
+}
+
+/// A leadership with that token.
+pub fn lead(token: u64) -> Lead {
+    Lead {
+        token: Token(token),
+        first: Token(token),
+        stamp: Stamp(2),
+        token_stamp: Stamp(2),
+        lease: LeaseId(1),
+        host_name: "n".into(),
+    }
+}
