--- a/tests/leadership.rs
+++ b/tests/leadership.rs
@@ -1,6 +1,6 @@
 //! A leader's right to act, and when it hands over.
 
-use chalklug::coordination::leadership::{should_hand_over, silence_bound, Authority};
+use chalklug::coordination::leadership::{should_hand_over, silence_bound, Authority, Lapse};
 use chalklug::ids::Millis;
 use chalklug::settings::{LeaderTimes, Operator, Workers};
 
@@ -102,3 +102,20 @@
     }
     assert!(derived > 60, "{derived} of the settings can be kept");
 }
+
+/// The log says why a leader ended: an operator must tell a processor that is too slow from a view that stood still.
+#[test]
+fn the_reason_for_which_authority_ended_is_told() {
+    let a = Authority::new(times(), Millis(0));
+    assert_eq!(a.lapse(Millis(3000)), None);
+    assert_eq!(a.lapse(Millis(4000)), Some(Lapse::LeaseOver));
+    a.renewed(Millis(19_000));
+    assert_eq!(a.lapse(Millis(19_999)), None);
+    assert_eq!(a.view_age(Millis(19_999)), Millis(19_999));
+    assert_eq!(a.lapse(Millis(20_000)), Some(Lapse::ViewTooOld));
+    a.knows(Millis(18_000));
+    assert_eq!(a.lapse(Millis(20_000)), None);
+    assert_eq!(a.view_age(Millis(20_000)), Millis(2000));
+    a.resign();
+    assert_eq!(a.lapse(Millis(20_000)), Some(Lapse::Resigned));
+}
