--- a/src/runtime/activity.rs
+++ b/src/runtime/activity.rs
@@ -25,12 +25,19 @@
 }
 
 /// The activity of one leadership.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Activity {
     counts: Mutex<Counts>,
 }
 
 impl Activity {
+    /// Nothing counted yet.
+    pub fn new(now: Millis) -> Activity {
+        Activity {
+            counts: Mutex::new(Counts::from(now)),
+        }
+    }
+
     /// A check-in was answered with these orders, on a view of the open jobs of that age.
     pub fn answered(&self, orders: &[Order], view_age: Millis) {
         let mut counts = lock(&self.counts);
@@ -57,12 +64,18 @@
     }
 
     /// Logs what has been counted, if it is time, and begins anew.
+    pub fn log_if_due(&self, now: Millis) {
+        let due = now - lock(&self.counts).since >= LOG_EVERY;
+        if due {
+            self.log(now);
+        }
+    }
+
+    /// Logs what has been counted, and begins anew.
     pub fn log(&self, now: Millis) {
         let mut counts = lock(&self.counts);
-        if now - counts.since < LOG_EVERY {
-            return;
-        }
         tracing::info!(
+            for_ms = (now - counts.since).0,
             answers = counts.answers,
             launches = counts.launches,
             stops = counts.stops,
@@ -73,14 +86,18 @@
             oldest_view_ms = counts.oldest_view.0,
             "activity"
         );
-        *counts = Counts {
-            since: now,
-            ..Counts::default()
-        };
+        *counts = Counts::from(now);
     }
 }
 
 impl Counts {
+    fn from(now: Millis) -> Counts {
+        Counts {
+            since: now,
+            ..Counts::default()
+        }
+    }
+
     fn add_orders(&mut self, orders: &[Order]) {
         for order in orders {
             match order {
--- a/src/runtime/leader.rs
+++ b/src/runtime/leader.rs
@@ -177,7 +177,7 @@
         Some((core, epoch, jobs)) if won.authority.holds(node.now()) => {
             won.authority.knows(asked);
             let (machines, starts) = (core.machines_up(), core.starts_listed());
-            let activity = Arc::new(Activity::default());
+            let activity = Arc::new(Activity::new(node.now()));
             *lock(&node.leader.active) = Some(Active {
                 core,
                 authority: won.authority.clone(),
@@ -197,7 +197,12 @@
             );
             let mut tasks = tokio::task::JoinSet::new();
             let authority = won.authority.clone();
-            tasks.spawn(steps(node.clone(), authority, activity, end.clone()));
+            tasks.spawn(steps(
+                node.clone(),
+                authority,
+                activity.clone(),
+                end.clone(),
+            ));
             let authority = won.authority.clone();
             tasks.spawn(watch_jobs(node.clone(), authority, epoch, end.clone()));
             tasks.spawn(list_hosts(node.clone(), end.clone()));
@@ -206,23 +211,16 @@
             tasks.spawn(listen_for_workers(node.clone(), authority, end.clone()));
             end.cancelled().await;
             tasks.shutdown().await;
+            activity.log(node.now());
         }
         _ => tracing::info!(token = %first, "could not take over"),
     }
-    let ended = node.now();
-    let (lapse, view_age) = (won.authority.lapse(ended), won.authority.view_age(ended));
     won.authority.resign();
     *lock(&node.leader.active) = None;
     node.leader.taking.send_replace(false);
     end.cancel();
     let _ = renewing.await;
-    tracing::info!(
-        token = %first,
-        led_ms = (ended - began).0,
-        ?lapse,
-        view_age_ms = view_age.0,
-        "leading no more"
-    );
+    tracing::info!(token = %first, led_ms = (node.now() - began).0, "leading no more");
     // Others needn't wait for a lease that we don't use. Everything of ours has stopped by now.
     node.state.revoke(lease).await;
 }
@@ -243,7 +241,7 @@
         }
         while touches.try_join_next().is_some() {}
         if !authority.holds(node.now()) {
-            end.cancel();
+            end_lapsed(&authority, node.now(), &end);
             return;
         }
         if touches.len() < TOUCHES as usize {
@@ -263,6 +261,16 @@
     }
 }
 
+/// Ends a leadership whose authority has lapsed, and says why, once. A touch that is answered later changes
+/// nothing any more.
+fn end_lapsed(authority: &Authority, now: Millis, end: &CancellationToken) {
+    if !end.is_cancelled() {
+        let (lapse, view_age) = (authority.lapse(now), authority.view_age(now));
+        tracing::info!(?lapse, view_age_ms = view_age.0, "authority lapsed");
+    }
+    end.cancel();
+}
+
 /// Touches in a lease's life, and so many at most under way.
 const TOUCHES: u64 = 5;
 
@@ -352,7 +360,7 @@
         tokio::time::sleep(Duration::from_millis(BUNCH.0 as u64)).await;
         let now = node.now();
         if end.is_cancelled() || !authority.holds(now) {
-            end.cancel();
+            end_lapsed(&authority, now, &end);
             return;
         }
         let effects = match lock(&node.leader.active).as_mut() {
@@ -360,7 +368,7 @@
             None => return,
         };
         activity.stepped(&effects, node.now() - now, now - due);
-        activity.log(now);
+        activity.log_if_due(now);
         for effect in effects {
             if let Effect::StepDown { why } = effect {
                 tracing::info!(why, "stepping down");
