Placement: a start is judged in one place, when planned and again when it leaves

Cause: an action on stale knowledge, and a check in one path and not in the other. A new leader recovers intents of attempts long gone beside those that run. A job whose tasks share a zone then seemed to be in two; the first by name was taken for its zone. A launch was never looked at again after it was planned. Change: placement/start_check.rs decides whether a task may start on a machine, given its job's constraints and where the job's other tasks may be; jobs keep counts by zone. A job that may be in several zones starts nothing until all but one are proven empty ('jobs pending reason=ConflictingZones'). Heartbeat responses and pushes judge each launch as it leaves; a planned one that is not allowed any more is dropped, logged at error and counted ('launch denied', denied_launches). audit counts places by zone again and judges what this leader planned. A live attempt that was taken for ended has its place again.

--- a/src/coordination/attempts/commands.rs
+++ b/src/coordination/attempts/commands.rs
@@ -2,8 +2,9 @@
 
 use crate::coordination::attempts::ledger::{LastStatus, PushDelivery, TaskAttempt};
 use crate::coordination::machines::machine::{Machine, MachineState};
+use crate::coordination::placement::start_check::check_planned_start;
 use crate::coordination::Scheduler;
-use crate::ids::MachineId;
+use crate::ids::{MachineId, TaskId};
 use crate::protocol::workers::{Cause, Command, TaskPhase};
 use crate::time::Instant;
 
@@ -37,10 +38,9 @@
         }
     }
 
-    /// Whether a planned attempt may be launched now: its intent is durable, its job still needs it, and
-    /// its machine is in use.
+    /// Whether a planned attempt may be launched now: its intent is durable, its job still needs it and allows
+    /// it there, and its machine is in use.
     pub(super) fn wants_launch(&self, machine: &Machine, attempt: &TaskAttempt) -> bool {
-        let job = || self.jobs.get(&attempt.task.job);
         attempt.page.is_some()
             && !self.waits_for_gang_members(attempt)
             && attempt.stop.is_none()
@@ -48,7 +48,16 @@
             && !attempt.recovered
             && !machine.is_leaving()
             && machine.state == MachineState::Up
-            && job().is_some_and(|job| job.needs_run(attempt.task.index))
+            && self.allows_launch(machine, &attempt.task)
+    }
+
+    /// Whether the task's job needs it to run, and allows it on the machine given where its other tasks may be.
+    ///
+    /// Guards against what has come to light since the launch was planned: each one is judged as it leaves.
+    fn allows_launch(&self, machine: &Machine, task: &TaskId) -> bool {
+        self.jobs.get(&task.job).is_some_and(|job| {
+            job.needs_run(task.index) && check_planned_start(job, machine).is_ok()
+        })
     }
 
     /// Whether a member of a gang has its image so much sooner than another that it would give up
@@ -138,16 +147,16 @@
         may_launch.then_some(Command::Launch { task, attempt_id })
     }
 
-    /// The commands of a push with what is known as it leaves: launches of tasks that are no longer
-    /// wanted are left out.
+    /// The commands of a push to a machine with what is known as it leaves: launches of tasks that are no longer
+    /// wanted there are left out.
     ///
     /// Guards against a command that waits for its turn on a busy processor while its job is cancelled. The
     /// answer to it lists no such task, so the attempt is dropped as one that was never launched.
-    pub fn still_wanted(&self, mut commands: Vec<Command>) -> Vec<Command> {
+    pub fn still_wanted(&self, machine_id: &MachineId, mut commands: Vec<Command>) -> Vec<Command> {
+        let machine = self.machines.get(machine_id);
         commands.retain(|command| match command {
             Command::Launch { task, .. } => {
-                let job = self.jobs.get(&task.job);
-                job.is_some_and(|job| job.needs_run(task.index))
+                machine.is_some_and(|machine| self.allows_launch(machine, task))
             }
             Command::Stop { .. } | Command::Clear { .. } => true,
         });
--- a/src/coordination/attempts/ledger/audit.rs
+++ b/src/coordination/attempts/ledger/audit.rs
@@ -1,13 +1,16 @@
 //! Counts everything again that the ledger keeps in step, and compares. For tests: no decision calls it.
 
-use super::TeamUsage;
+use super::{TaskAttempt, TeamUsage};
 use crate::coordination::jobs::index::JobIndexMismatch;
 use crate::coordination::jobs::job::Job;
+use crate::coordination::jobs::tasks_by_zone::TasksByZone;
 use crate::coordination::machines::machine::Machine;
 use crate::coordination::machines::table::{MachineIndex, Room};
+use crate::coordination::placement::start_check::{StartCheck, StartDenial};
 use crate::coordination::Scheduler;
-use crate::ids::JobId;
+use crate::ids::{JobId, MachineId, TaskId};
 use crate::resources::Resources;
+use std::collections::BTreeSet;
 
 /// Sums of decimal numbers may differ by this much in all.
 const TOLERANCE: f64 = 1e-3;
@@ -51,6 +54,26 @@
         /// Running attempts as kept.
         running: u32,
     },
+    /// The places of a job's tasks: every live attempt has one.
+    #[error("{job}: places by zone {kept:?}, counted {counted:?}")]
+    Places {
+        /// The job.
+        job: JobId,
+        /// As kept.
+        kept: TasksByZone,
+        /// As counted.
+        counted: TasksByZone,
+    },
+    /// An attempt that this leader planned is where its job does not allow it, given the others that it planned.
+    #[error("{task} on {machine}: {denial}")]
+    Placement {
+        /// The task.
+        task: TaskId,
+        /// The machine.
+        machine: MachineId,
+        /// Why it may not be there.
+        denial: StartDenial,
+    },
     /// The sets of jobs by state.
     #[error("jobs by state {0:?}")]
     JobIndex(Box<JobIndexMismatch>),
@@ -73,6 +96,8 @@
         self.audit_machine_index()?;
         for (id, job) in &self.jobs {
             self.audit_job(id, job)?;
+            self.audit_places(id, job)?;
+            self.audit_constraints(id, job)?;
         }
         self.jobs.audit_index().map_err(AuditError::JobIndex)
     }
@@ -130,6 +155,59 @@
         })
     }
 
+    fn audit_places(&self, id: &JobId, job: &Job) -> Result<(), AuditError> {
+        let live = self.live_attempts_of(id);
+        let places: BTreeSet<(u32, &MachineId)> = live
+            .map(|(machine, attempt)| (attempt.task.index, &machine.id))
+            .collect();
+        let mut counted = TasksByZone::default();
+        for (_, machine_id) in &places {
+            if let Some(machine) = self.machines.get(machine_id) {
+                counted.add(&machine.zone);
+            }
+        }
+        let kept = job.placements().iter();
+        let kept: BTreeSet<(u32, &MachineId)> = kept
+            .flat_map(|(index, machines)| machines.iter().map(|machine| (*index, machine)))
+            .collect();
+        if kept == places && counted == *job.tasks_by_zone() {
+            return Ok(());
+        }
+        Err(AuditError::Places {
+            job: id.clone(),
+            kept: job.tasks_by_zone().clone(),
+            counted,
+        })
+    }
+
+    /// Attempts of former leaders are left out: old intents may name several zones until they are settled.
+    fn audit_constraints(&self, id: &JobId, job: &Job) -> Result<(), AuditError> {
+        let mut check = StartCheck::of_no_tasks(job);
+        let live = self.live_attempts_of(id);
+        for (machine, attempt) in live.filter(|(_, attempt)| !attempt.recovered) {
+            if let Err(denial) = check.check(machine) {
+                return Err(AuditError::Placement {
+                    task: attempt.task.clone(),
+                    machine: machine.id.clone(),
+                    denial,
+                });
+            }
+            check.task_planned(&machine.zone);
+        }
+        Ok(())
+    }
+
+    fn live_attempts_of<'a>(
+        &'a self,
+        id: &'a JobId,
+    ) -> impl Iterator<Item = (&'a Machine, &'a TaskAttempt)> {
+        let machines = self.machines.values();
+        machines.flat_map(move |machine| {
+            let of_job = machine.live_attempts().filter(|a| a.task.job == *id);
+            of_job.map(move |attempt| (machine, attempt))
+        })
+    }
+
     fn audit_job(&self, id: &JobId, job: &Job) -> Result<(), AuditError> {
         let attempts = self.machines.values().flat_map(|m| m.attempts.iter());
         let (mut counted, mut running) = (0, 0);
--- a/src/coordination/attempts/ledger/mod.rs
+++ b/src/coordination/attempts/ledger/mod.rs
@@ -100,6 +100,7 @@
         } else if change.has_revived() {
             self.team_usage.charge(change.team, &change.request);
             self.machines.reindex(machine_id);
+            self.add_place(machine_id, &key.task);
         }
         let job_id = &key.task.job;
         match (change.was_running, change.is_running) {
@@ -217,20 +218,26 @@
     }
 
     fn add_place(&mut self, machine_id: &MachineId, task: &TaskId) {
-        self.jobs
-            .update(&task.job, |job| job.task_placed(task.index, machine_id));
+        let Some(machine) = self.machines.get(machine_id) else {
+            return;
+        };
+        self.jobs.update(&task.job, |job| {
+            job.task_placed(task.index, machine_id, &machine.zone);
+        });
     }
 
     /// A live attempt of the task on that machine has ended or has been removed. The task is pending again
     /// if no other live attempt of it may be anywhere.
     fn drop_place(&mut self, machine_id: &MachineId, task: &TaskId) {
         self.placement.request_pass();
-        let machine = self.machines.get(machine_id);
-        if machine.is_some_and(|machine| machine.attempts.has_live_attempt_of(task)) {
+        let Some(machine) = self.machines.get(machine_id) else {
+            return;
+        };
+        if machine.attempts.has_live_attempt_of(task) {
             return;
         }
         let needs_gang_scheduling = self.jobs.update(&task.job, |job| {
-            job.task_left_machine(task.index, machine_id);
+            job.task_left_machine(task.index, machine_id, &machine.zone);
             job.needs_gang_scheduling()
         });
         if needs_gang_scheduling == Some(true) {
--- a/src/coordination/attempts/stops.rs
+++ b/src/coordination/attempts/stops.rs
@@ -5,6 +5,7 @@
 use crate::coordination::attempts::ledger::{RemovalProof, StopRequest, TaskAttempt};
 use crate::coordination::jobs::job::Job;
 use crate::coordination::machines::machine::Machine;
+use crate::coordination::placement::start_check::check_planned_start;
 use crate::coordination::Scheduler;
 use crate::ids::{AttemptKey, MachineId};
 use crate::protocol::workers::{Command, TaskPhase};
@@ -133,11 +134,35 @@
         if has_stops_to_push {
             self.outbox.pushes_due.insert(machine_id.clone());
         }
+        never_launched.extend(self.denied_launches(machine_id));
         for (key, proof) in never_launched {
             self.ledger().remove(now, machine_id, &key, proof);
         }
     }
 
+    /// Planned attempts on the machine that may not start there any more, given what is known of the other tasks
+    /// of their jobs by now. They were allowed when they were planned, so each is reported.
+    fn denied_launches(&mut self, machine_id: &MachineId) -> Vec<(AttemptKey, RemovalProof)> {
+        let Some(machine) = self.machines.get(machine_id) else {
+            return Vec::new();
+        };
+        let mut denied = Vec::new();
+        for attempt in machine.live_attempts() {
+            let Some(proof) = RemovalProof::never_launched(attempt) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get(&attempt.task.job) else {
+                continue;
+            };
+            if let Err(denial) = check_planned_start(job, machine) {
+                tracing::error!(task = %attempt.task, machine = %machine_id, zone = %machine.zone, %denial, "launch denied");
+                denied.push((attempt.key(), proof));
+            }
+        }
+        self.denied_launch_count += denied.len() as u64;
+        denied
+    }
+
     /// A push went unanswered: what it should have stopped is told again. Heartbeats tell it
     /// too, but from a machine that reaches no controller none comes. One that was not heard of at all
     /// lately is left alone: a zone beyond a cut would take the connections of all others.
--- a/src/coordination/autoscaler/report.rs
+++ b/src/coordination/autoscaler/report.rs
@@ -82,6 +82,7 @@
             pending_tasks = pending_tasks(&cluster),
             intent_pages,
             unwritten_intents,
+            denied_launches = self.denied_launch_count,
             "cluster state"
         );
         self.log_pending_jobs(now);
--- a/src/coordination/jobs/job.rs
+++ b/src/coordination/jobs/job.rs
@@ -3,7 +3,8 @@
 use super::retry::RetryBackoff;
 use super::run_times::TaskRunTimes;
 use super::tasks::TaskStates;
-use crate::ids::{KeyRevision, MachineId, TeamIndex};
+use super::tasks_by_zone::TasksByZone;
+use crate::ids::{KeyRevision, MachineId, TeamIndex, Zone};
 use crate::protocol::users::{JobSpec, Shape};
 use crate::resources::Resources;
 use crate::storage::records::CompletedTasks;
@@ -144,6 +145,22 @@
         self.tasks.placements()
     }
 
+    /// How many of its tasks may be in each zone.
+    pub fn tasks_by_zone(&self) -> &TasksByZone {
+        self.tasks.by_zone()
+    }
+
+    /// Whether all its tasks have to be in one zone.
+    pub fn has_affinity(&self) -> bool {
+        self.spec.together && self.spec.tasks > 1
+    }
+
+    /// Whether its tasks have to share a zone and may be in several: nothing of it can start until all but one
+    /// of these are proven empty.
+    pub fn is_in_conflicting_zones(&self) -> bool {
+        self.has_affinity() && self.tasks_by_zone().zones().len() > 1
+    }
+
     /// How many attempts of its tasks are in the ledger.
     pub fn attempt_count(&self) -> u32 {
         self.attempt_count
@@ -231,14 +248,14 @@
         self.tasks.drop_pending();
     }
 
-    /// A task may be on that machine from now on.
-    pub fn task_placed(&mut self, index: u32, machine_id: &MachineId) {
-        self.tasks.placed(index, machine_id);
+    /// A task may be on that machine, in that zone, from now on.
+    pub fn task_placed(&mut self, index: u32, machine_id: &MachineId, zone: &Zone) {
+        self.tasks.placed(index, machine_id, zone);
     }
 
-    /// A task is not on that machine any more: it is pending again if it still has to run.
-    pub fn task_left_machine(&mut self, index: u32, machine_id: &MachineId) {
-        self.tasks.left_machine(index, machine_id);
+    /// A task is not on that machine, in that zone, any more: it is pending again if it still has to run.
+    pub fn task_left_machine(&mut self, index: u32, machine_id: &MachineId, zone: &Zone) {
+        self.tasks.left_machine(index, machine_id, zone);
         if self.needs_run(index) {
             self.tasks.requeue(index);
         }
--- a/src/coordination/jobs/mod.rs
+++ b/src/coordination/jobs/mod.rs
@@ -12,4 +12,5 @@
 pub mod run_times;
 pub mod table;
 mod tasks;
+pub mod tasks_by_zone;
 pub mod terminal_record_reads;
--- a/src/coordination/jobs/pending.rs
+++ b/src/coordination/jobs/pending.rs
@@ -18,6 +18,8 @@
     TeamLimit,
     /// It is a gang, and members of its last attempt have not ended everywhere yet.
     LastGangAttempt,
+    /// Its tasks have to share a zone and may be in several, until all but one of these are proven empty.
+    ConflictingZones,
     /// No machine that fits has free capacity.
     FreeCapacity,
 }
@@ -79,6 +81,9 @@
         if is_gang && !job.placements().is_empty() {
             return PendingReason::LastGangAttempt;
         }
+        if job.is_in_conflicting_zones() {
+            return PendingReason::ConflictingZones;
+        }
         let needed = if is_gang {
             job.pending().len() as u32
         } else {
--- a/src/coordination/jobs/tasks.rs
+++ b/src/coordination/jobs/tasks.rs
@@ -1,6 +1,7 @@
 //! The tasks of a job: which are completed, which may be on a machine, which are pending.
 
-use crate::ids::MachineId;
+use super::tasks_by_zone::TasksByZone;
+use crate::ids::{MachineId, Zone};
 use crate::storage::records::CompletedTasks;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +16,8 @@
     pending: BTreeSet<u32>,
     /// The machines on which a task may be: more than one only after a failover.
     placements: BTreeMap<u32, Vec<MachineId>>,
+    /// The zones of these machines.
+    by_zone: TasksByZone,
 }
 
 impl TaskStates {
@@ -25,6 +28,7 @@
             unpersisted: BTreeSet::new(),
             pending: (0..count).collect(),
             placements: BTreeMap::new(),
+            by_zone: TasksByZone::default(),
         }
     }
 
@@ -44,23 +48,33 @@
         &self.placements
     }
 
-    /// The task may be on that machine from now on.
-    pub(super) fn placed(&mut self, index: u32, machine_id: &MachineId) {
+    pub(super) fn by_zone(&self) -> &TasksByZone {
+        &self.by_zone
+    }
+
+    /// The task may be on that machine, in that zone, from now on.
+    pub(super) fn placed(&mut self, index: u32, machine_id: &MachineId, zone: &Zone) {
         let machines = self.placements.entry(index).or_default();
         if !machines.contains(machine_id) {
             machines.push(machine_id.clone());
+            self.by_zone.add(zone);
         }
         self.pending.remove(&index);
     }
 
-    /// The task is not on that machine any more.
-    pub(super) fn left_machine(&mut self, index: u32, machine_id: &MachineId) {
-        if let Some(machines) = self.placements.get_mut(&index) {
-            machines.retain(|other| other != machine_id);
-            if machines.is_empty() {
-                self.placements.remove(&index);
-            }
+    /// The task is not on that machine, in that zone, any more.
+    pub(super) fn left_machine(&mut self, index: u32, machine_id: &MachineId, zone: &Zone) {
+        let Some(machines) = self.placements.get_mut(&index) else {
+            return;
+        };
+        let Some(place) = machines.iter().position(|other| other == machine_id) else {
+            return;
+        };
+        machines.remove(place);
+        if machines.is_empty() {
+            self.placements.remove(&index);
         }
+        self.by_zone.remove(zone);
     }
 
     /// The task has to run: it is pending unless it may still be on some machine.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -66,6 +66,8 @@
     pub(crate) estimates: Estimates,
     pub(crate) aging: Aging,
     pub(crate) writer: Writer,
+    /// Planned launches that were dropped because their job did not allow them any more.
+    pub(crate) denied_launch_count: u64,
     /// What the present step asks the runtime to do.
     pub(crate) effects: Vec<Effect>,
     last_request_id: RequestId,
@@ -93,6 +95,7 @@
             aging: Aging::new(policy.operator.begin_within_s),
             writer: Writer::new(&policy.facts.state, now),
             policy,
+            denied_launch_count: 0,
             effects: Vec::new(),
             last_request_id: RequestId(0),
             last_recheck_at: now,
--- a/src/coordination/placement/candidates.rs
+++ b/src/coordination/placement/candidates.rs
@@ -4,8 +4,8 @@
 //! Chooses only: nothing is changed here, and no quota is looked at.
 
 use super::pass::{ImageLocality, PlacementPass};
-use super::request::allows_machine;
-use super::zones::{ZoneChoice, ZoneSpread};
+use super::start_check::StartCheck;
+use super::zones::ZoneChoice;
 use super::Placement;
 use crate::coordination::attempts::ledger::MAX_ATTEMPTS_PER_MACHINE;
 use crate::coordination::jobs::graph::Label;
@@ -110,11 +110,11 @@
         locality: ImageLocality,
     ) -> Vec<Placement> {
         let request = Resources::of(job.spec());
-        let mut candidates = self.candidates(job_id, job, zones, locality);
-        let mut spread = ZoneSpread::of(&self.view, job);
+        let mut start_check = StartCheck::of_pending_tasks(job);
+        let mut candidates = self.candidates(job_id, job, zones, locality, &start_check);
         let mut placements = Vec::new();
         for index in task_indexes {
-            let Some(mut candidate) = pop_allowed(&mut candidates, spread.as_ref()) else {
+            let Some(mut candidate) = pop_allowed(&mut candidates, &start_check) else {
                 break;
             };
             placements.push(Placement {
@@ -125,9 +125,7 @@
                 machine: candidate.machine_id.clone(),
                 image_wait_s: candidate.fixed_costs.image_wait_s,
             });
-            if let Some(spread) = &mut spread {
-                spread.add(candidate.zone);
-            }
+            start_check.task_planned(candidate.zone);
             candidate.take_task(&request);
             if candidate.has_room_for(&request) {
                 candidates.push(candidate);
@@ -143,6 +141,7 @@
         job: &Job,
         zones: &ZoneChoice,
         locality: ImageLocality,
+        start_check: &StartCheck<'_>,
     ) -> BinaryHeap<Candidate<'_>> {
         let spec = job.spec();
         let request = Resources::of(spec);
@@ -155,7 +154,7 @@
             .filter(|machine| {
                 request.fits(machine.free()) && machine.attempts.len() < MAX_ATTEMPTS_PER_MACHINE
             })
-            .filter(|machine| allows_machine(spec, machine) && zones.includes(&machine.zone))
+            .filter(|machine| zones.includes(&machine.zone) && start_check.check(machine).is_ok())
             .filter(|machine| self.view.is_usable(machine) && !self.state.is_reserved(&machine.id))
             .filter(|machine| locality.is_met_by(machine, &spec.image))
             .filter(|machine| !(avoids_failures && job.retry().failed_on().contains(&machine.id)))
@@ -195,14 +194,14 @@
     }
 }
 
-/// Takes the cheapest candidate whose zone is not full for the job; those in full zones are dropped, for
-/// they stay full.
+/// Takes the cheapest candidate in whose zone one more task of the job may start; the others are dropped, for
+/// each task chosen leaves fewer zones open.
 fn pop_allowed<'a>(
     candidates: &mut BinaryHeap<Candidate<'a>>,
-    spread: Option<&ZoneSpread>,
+    start_check: &StartCheck<'_>,
 ) -> Option<Candidate<'a>> {
     while let Some(candidate) = candidates.pop() {
-        if spread.is_none_or(|spread| !spread.is_full(candidate.zone)) {
+        if start_check.check_zone(candidate.zone).is_ok() {
             return Some(candidate);
         }
     }
--- a/src/coordination/placement/mod.rs
+++ b/src/coordination/placement/mod.rs
@@ -21,6 +21,7 @@
 mod queue;
 pub(crate) mod request;
 mod reservations;
+pub(crate) mod start_check;
 mod view;
 mod zones;
 
--- a/src/coordination/placement/pass.rs
+++ b/src/coordination/placement/pass.rs
@@ -210,6 +210,11 @@
             // A task of the last gang attempt may still be on a machine.
             return Startable::Nothing;
         }
+        // Guards against old intents that a failover brings back beside new ones in another zone: no zone can be
+        // taken for the job's until the others are proven empty.
+        if job.is_in_conflicting_zones() {
+            return Startable::Nothing;
+        }
         let headroom = self.view.quota_headroom(job, &self.state.team_usage);
         let mut count = headroom.min(job.pending().len() as u32);
         if !starts_as_gang && job.fails_everywhere() && !self.has_run_long_enough(job_id, job) {
--- a/src/runtime/leader/state.rs
+++ b/src/runtime/leader/state.rs
@@ -238,7 +238,9 @@
         } = &mut effect
         {
             if let Some(leader) = lock(&self.active).as_ref() {
-                *commands = leader.scheduler.still_wanted(std::mem::take(commands));
+                *commands = leader
+                    .scheduler
+                    .still_wanted(machine_id, std::mem::take(commands));
                 leader.log_commands(now, Carrier::Command, machine_id, commands);
             }
         }
--- a/tests/stale_knowledge.rs
+++ b/tests/stale_knowledge.rs
@@ -212,9 +212,15 @@
         attempt_id: AttemptId((CURRENT_TOKEN << 32) | 1),
     };
     assert_eq!(commands, [vec![launch.clone()]]);
-    assert_eq!(scheduler.still_wanted(commands[0].clone()), [launch]);
+    assert_eq!(
+        scheduler.still_wanted(&machine_id(), commands[0].clone()),
+        [launch]
+    );
     scheduler.on(START + TimeSpan(3_000), Event::JobCancelled { id: job(2) });
-    assert_eq!(scheduler.still_wanted(commands[0].clone()), []);
+    assert_eq!(
+        scheduler.still_wanted(&machine_id(), commands[0].clone()),
+        []
+    );
     scheduler.audit().unwrap();
 }
 
