Preemption and reservations ask where the job may start

For an urgent job bound to the zone of its tasks, tasks were stopped in another zone, where it can't start; and 'no room in its zone' was taken for 'no room anywhere' by like jobs behind it. Change: evictions, free machines counted as available, and reservations go through start_check; a job bound to a zone by its own tasks says nothing of others' requests.

--- a/src/coordination/placement/eviction.rs
+++ b/src/coordination/placement/eviction.rs
@@ -3,7 +3,7 @@
 //! The cost of an eviction is in seconds: the work that is lost of each task stopped, counted for every
 //! member of a gang (all of them stop with one), and the wait for the image of the job that room is made for.
 
-use super::request::allows_machine;
+use super::start_check::StartCheck;
 use super::view::PlacementView;
 use crate::coordination::attempts::ledger::TaskAttempt;
 use crate::coordination::jobs::job::Job;
@@ -45,6 +45,8 @@
 pub(super) struct Preemptor<'a> {
     pub(super) id: &'a JobId,
     pub(super) job: &'a Job,
+    /// Where one more of its tasks may start.
+    pub(super) start_check: StartCheck<'a>,
     priority: Priority,
     /// Jobs inside their team's guaranteed share, which are stopped for higher priority only. None of them
     /// is known if only tasks of lower priority may go.
@@ -62,6 +64,7 @@
         Some(Preemptor {
             id,
             job,
+            start_check: StartCheck::of_pending_tasks(job),
             priority: view.effective_priority(id, job.spec()),
             guaranteed_jobs,
         })
@@ -104,7 +107,7 @@
         preemptor: &Preemptor<'_>,
     ) -> Option<Eviction> {
         let spec = preemptor.job.spec();
-        if !self.may_evict_from(machine, spec) {
+        if !self.may_evict_from(machine, preemptor) {
             return None;
         }
         let mut stoppable: Vec<Stoppable<'_>> = machine
@@ -134,10 +137,13 @@
         })
     }
 
-    /// Whether tasks of a job could run on the machine if it were empty.
-    fn may_evict_from(&self, machine: &Machine, spec: &JobSpec) -> bool {
+    /// Whether one more task of the job could start on the machine if it were empty.
+    ///
+    /// Guards against tasks stopped in vain, again and again, in a zone in which the job may not start.
+    fn may_evict_from(&self, machine: &Machine, preemptor: &Preemptor<'_>) -> bool {
+        let spec = preemptor.job.spec();
         self.is_usable(machine)
-            && allows_machine(spec, machine)
+            && preemptor.start_check.check(machine).is_ok()
             && Resources::of(spec).fits(&self.capacity(machine))
             && self.warm_pool_admits(&machine.id, &spec.class)
             && machine.reserved_for(self.now()).is_none()
--- a/src/coordination/placement/pass.rs
+++ b/src/coordination/placement/pass.rs
@@ -291,6 +291,7 @@
             .unwrap_or_default();
         let depends_on_request_alone = job.retry().failed_on().is_empty()
             && !job.spec().scatter
+            && !(job.has_affinity() && !job.placements().is_empty())
             && (!is_gang || job.spec().tasks == 1);
         if placements.is_empty() && depends_on_request_alone && locality == ImageLocality::Preferred
         {
--- a/src/coordination/placement/preemption.rs
+++ b/src/coordination/placement/preemption.rs
@@ -4,7 +4,6 @@
 //! Decisions return [`Eviction`]s; [`Scheduler::evict`] alone carries them out.
 
 use super::eviction::{cheapest, Preemptor};
-use super::request::allows_machine;
 use super::view::PlacementView;
 use super::UnplacedTasks;
 use crate::coordination::jobs::job::Job;
@@ -97,7 +96,7 @@
         } else {
             1
         };
-        let available = self.machines_available_to(preemptor.id, preemptor.job);
+        let available = self.machines_available_to(preemptor);
         let wanted = machines_needed.saturating_sub(available) as usize;
         if wanted == 0 {
             return Vec::new();
@@ -111,18 +110,14 @@
     }
 
     /// How many machines have room for a task of the job, or are being emptied for it.
-    fn machines_available_to(&self, job_id: &JobId, job: &Job) -> u32 {
+    fn machines_available_to(&self, preemptor: &Preemptor<'_>) -> u32 {
         let is_available = |machine: &&Machine| match machine.reserved_for(self.now()) {
-            Some(holder) => holder == job_id,
-            None => self.has_room_for(machine, job.spec()) && self.is_usable(machine),
+            Some(holder) => holder == preemptor.id,
+            None => has_room_for(machine, preemptor) && self.is_usable(machine),
         };
         self.machines().values().filter(is_available).count() as u32
     }
 
-    fn has_room_for(&self, machine: &Machine, spec: &JobSpec) -> bool {
-        Resources::of(spec).fits(machine.free()) && allows_machine(spec, machine)
-    }
-
     /// Whether machines with the job's image are being emptied for it.
     pub(super) fn is_room_being_made_for(&self, job_id: &JobId) -> bool {
         let Some(job) = self.jobs().get(job_id) else {
@@ -159,7 +154,7 @@
                 .values()
                 .filter(|machine| machine.has_image(&spec.image) && self.is_usable(machine))
         };
-        if machines_with_image().any(|machine| self.has_room_for(machine, spec)) {
+        if machines_with_image().any(|machine| has_room_for(machine, &preemptor)) {
             return Vec::new();
         }
         let max_grace_s = pull_s * MAX_GRACE_FRACTION_OF_PULL;
@@ -198,3 +193,9 @@
             .fold(f64::INFINITY, f64::min)
     }
 }
+
+/// Whether one more task of the job could start on the machine as it is.
+fn has_room_for(machine: &Machine, preemptor: &Preemptor<'_>) -> bool {
+    Resources::of(preemptor.job.spec()).fits(machine.free())
+        && preemptor.start_check.check(machine).is_ok()
+}
--- a/src/coordination/placement/reservations.rs
+++ b/src/coordination/placement/reservations.rs
@@ -4,12 +4,11 @@
 
 use super::candidates::free_fraction;
 use super::pass::PlacementPass;
-use super::request::allows_machine;
+use super::start_check::StartCheck;
 use super::view::PlacementView;
 use crate::coordination::jobs::job::Job;
 use crate::coordination::machines::machine::Machine;
 use crate::ids::{JobId, MachineId, Zone};
-use crate::protocol::users::JobSpec;
 use crate::resources::Resources;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -52,13 +51,13 @@
         let is_large = self.view.is_large_task(spec);
         let is_aged = self.view.is_aged(job);
         if is_gang_of_several && (is_aged || is_large) {
-            self.reserve_free_machines(spec);
+            self.reserve_free_machines(job);
         }
         let may_wait = || !is_aged && self.view.may_scale_out_for(spec);
         if (is_gang_of_several && is_aged) || (is_large && !may_wait()) {
             let count = if is_gang_of_several { spec.tasks } else { 1 };
             for _ in 0..count {
-                self.reserve_least_allocated_machine(spec);
+                self.reserve_least_allocated_machine(job);
             }
         }
     }
@@ -66,13 +65,14 @@
     /// Guards against a task of a whole machine that never finds one, because small tasks fill
     /// every gap and no more machines are to be had: the one with the largest
     /// free fraction that it may use takes nothing more from jobs behind it.
-    fn reserve_least_allocated_machine(&mut self, spec: &JobSpec) {
-        let request = Resources::of(spec);
+    fn reserve_least_allocated_machine(&mut self, job: &Job) {
+        let request = Resources::of(job.spec());
+        let start_check = StartCheck::of_pending_tasks(job);
         let least_allocated = self
             .view
             .machines_with_room()
             .filter(|machine| !self.state.is_reserved(&machine.id))
-            .filter(|machine| allows_machine(spec, machine) && self.view.is_usable(machine))
+            .filter(|machine| start_check.check(machine).is_ok() && self.view.is_usable(machine))
             .map(|machine| (machine, self.view.capacity(machine)))
             .filter(|(_, capacity)| request.fits(capacity))
             .map(|(machine, capacity)| (free_fraction(machine.free(), &capacity), &machine.id))
@@ -85,12 +85,14 @@
     /// Guards against a gang of several machines that never finds them at once, because what comes
     /// free is taken by whatever needs less: those that it could use are reserved for it, all in one zone
     /// if it has affinity.
-    fn reserve_free_machines(&mut self, spec: &JobSpec) {
+    fn reserve_free_machines(&mut self, job: &Job) {
+        let spec = job.spec();
         let request = Resources::of(spec);
+        let start_check = StartCheck::of_pending_tasks(job);
         let mut by_zone: BTreeMap<Option<&Zone>, Vec<&MachineId>> = BTreeMap::new();
         for machine in self.view.machines_with_room() {
             if request.fits(machine.free())
-                && allows_machine(spec, machine)
+                && start_check.check(machine).is_ok()
                 && self.view.is_usable(machine)
                 && !self.state.is_reserved(&machine.id)
             {
