Machines whose workers contradict their record get no launch

Cause: type, zone and spot flag are taken once, from whichever of rental, list, heartbeat or stored page comes first; nothing compared them afterwards, so two sources that disagree would go unseen.

--- a/src/coordination/attempts/reconciliation/session.rs
+++ b/src/coordination/attempts/reconciliation/session.rs
@@ -44,6 +44,7 @@
         let initial_token = self.leadership.initial_token();
         let lease_expiry_bound = self.policy.lease_expiry_bound();
         let machine = self.machines.get_mut(&status.machine_id)?;
+        note_reported_kind(machine, now, status);
         let evidence = StatusEvidence {
             at: (status.session, status.tick),
             token: status.token,
@@ -112,6 +113,22 @@
     }
 }
 
+/// Guards against launches where a job does not allow them, should two sources ever disagree on what a machine is.
+fn note_reported_kind(machine: &mut Machine, now: Instant, status: &WorkerStatus) {
+    if machine.kind_reported(now, &status.machine_type, &status.zone, status.spot) {
+        tracing::error!(
+            machine = %machine.id,
+            recorded_type = %machine.machine_type,
+            recorded_zone = %machine.zone,
+            recorded_spot = machine.spot,
+            reported_type = %status.machine_type,
+            reported_zone = %status.zone,
+            reported_spot = status.spot,
+            "machine contradicts its record, drained"
+        );
+    }
+}
+
 /// The machine's worker has begun another session: the lease of the one before has run out.
 fn start_session(machine: &mut Machine, now: Instant, lease_expiry_bound: TimeSpan) {
     let is_first = machine.session == Session(0);
--- a/src/coordination/machines/machine.rs
+++ b/src/coordination/machines/machine.rs
@@ -85,6 +85,8 @@
     pub idle_since: Option<Instant>,
     /// Jobs whose tasks failed here with no success between.
     pub failed_jobs: BTreeSet<JobId>,
+    /// Whether its worker has reported another type, zone or kind (spot or on-demand) than is on record.
+    kind_contradicted: bool,
     /// Whether it is drained because of those failures.
     pub quarantined: bool,
     /// The push whose answer is awaited.
@@ -139,6 +141,7 @@
             images: ImageCache::default(),
             idle_since: None,
             failed_jobs: BTreeSet::new(),
+            kind_contradicted: false,
             quarantined: false,
             push_in_flight: None,
             push_not_before: now,
@@ -155,6 +158,24 @@
         self.page = Some(page);
     }
 
+    /// Its worker reports this kind. True if that contradicts the record for the first time: it is drained from
+    /// then on, for nothing can be said of which jobs may run on it.
+    pub fn kind_reported(
+        &mut self,
+        now: Instant,
+        machine_type: &MachineType,
+        zone: &Zone,
+        spot: bool,
+    ) -> bool {
+        let agrees = *machine_type == self.machine_type && *zone == self.zone && spot == self.spot;
+        if agrees || self.kind_contradicted {
+            return false;
+        }
+        self.kind_contradicted = true;
+        self.start_draining(now);
+        true
+    }
+
     /// The cloud's list names it, perhaps as failed.
     pub fn listed_by_cloud(&mut self, is_failed: bool) {
         self.listed_as_failed = is_failed;
