Tests: jobs with every constraint under random faults, with launch intents on many pages

Cause: the random runs had no restricted machine types, one machine type, and few pages, so that obsolete launch intents hardly ever lasted to the next leader. A scenario word machine-types.

--- a/tests/random/faults.rs
+++ b/tests/random/faults.rs
@@ -22,7 +22,7 @@
 const QUIET_AFTER_SINGLES: TimeSpan = TimeSpan(400_000);
 
 /// The seeds to run: from `FIRST` to `SEEDS`, where these are set.
-fn seeds(last: u64) -> std::ops::RangeInclusive<u64> {
+pub fn seeds(last: u64) -> std::ops::RangeInclusive<u64> {
     let variable = |name: &str| std::env::var(name).ok().and_then(|n| n.parse().ok());
     variable("FIRST").unwrap_or(1)..=variable("SEEDS").unwrap_or(last)
 }
--- a/tests/scenario_language/job.rs
+++ b/tests/scenario_language/job.rs
@@ -2,7 +2,7 @@
 
 use super::Words;
 use crate::simulation::{Simulation, TaskBehavior};
-use chalklug::ids::{Image, JobId, Zone};
+use chalklug::ids::{Image, JobId, MachineType, Zone};
 use chalklug::protocol::users::{JobSpec, Priority, Shape};
 
 /// How long tasks run unless a scenario says otherwise.
@@ -24,7 +24,9 @@
         ram_gb: 1.0,
         image: Image::from(words.get("image").unwrap_or("img")),
         image_gb: words.number("image-gb", 2.0),
-        machine_types: None,
+        machine_types: words
+            .get("machine-types")
+            .map(|names| names.split(',').map(MachineType::from).collect()),
         zone: words.get("zone").map(Zone::from),
         together: words.has("affinity"),
         scatter: words.has("anti-affinity"),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,6 +6,8 @@
 mod machine_type;
 #[path = "upgrade/page_splitting.rs"]
 mod page_splitting;
+#[path = "random/constraints.rs"]
+mod random_constraints;
 #[path = "random/dependency_graphs.rs"]
 mod random_dependency_graphs;
 #[path = "random/faults.rs"]
