--- /dev/null
+++ b/tests/soak/checker_sees.rs
@@ -0,0 +1,157 @@
+//! The checker sees each rule broken: a planted violation of each.
+
+use super::checker::{Attempt, Checker, Limits, MachineFacts, Rule, Told};
+use chalklug::protocol::users::parse_submission;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+const LEASE: Duration = Duration::from_secs(5);
+
+/// A checker with a machine in each of the zones a and b, and a job with these further fields.
+fn checker(further: Value) -> (Checker, Instant) {
+    let now = Instant::now();
+    let limits = Limits {
+        cancel: Duration::from_secs(10),
+        max_gpus: BTreeMap::from([("blue".to_owned(), 2.0)]),
+    };
+    let mut checker = Checker::new(limits, now);
+    for (machine, zone) in [("m-a", "a"), ("m-b", "b"), ("m-b2", "b")] {
+        let facts = MachineFacts {
+            machine_type: "box".into(),
+            zone: zone.into(),
+            spot: zone == "b",
+            lease_until: now + LEASE,
+        };
+        checker.machine_up(machine, facts);
+    }
+    let mut spec = json!({"ref": "wk-1", "jobclass": "c", "crew": "blue", "shape": "array", "urgency": "normal",
+        "pieces": 3, "cpus": 1, "gpus": 1, "ramGb": 1, "bundle": "i", "pullGb": 1, "together": false,
+        "scatter": false, "loaners": true, "guessS": 5, "markEveryS": 0, "markCostS": 0});
+    for (field, value) in further.as_object().expect("fields") {
+        spec[field] = value.clone();
+    }
+    let submission = parse_submission(spec.to_string().as_bytes()).expect("a job");
+    checker.job_submitted(submission.spec);
+    (checker, now)
+}
+
+fn attempt(index: u32, machine: &str) -> Attempt {
+    Attempt {
+        job: "wk-1".into(),
+        index,
+        attempt_id: 7,
+        machine: machine.into(),
+    }
+}
+
+fn told(now: Instant, after_ms: u64, status: u16, phase: &str) -> Told<'_> {
+    let asked_at = now + Duration::from_millis(after_ms);
+    Told {
+        asked_at,
+        told_at: asked_at + Duration::from_millis(1),
+        status,
+        phase,
+    }
+}
+
+fn rules(checker: &Checker) -> Vec<Rule> {
+    checker.violations.iter().map(|v| v.rule).collect()
+}
+
+#[test]
+fn checker_sees_a_task_on_two_machines() {
+    let (mut checker, now) = checker(json!({}));
+    checker.task_started(now, &attempt(0, "m-a"));
+    checker.task_started(now, &attempt(0, "m-b"));
+    assert_eq!(rules(&checker), [Rule::RanTwice]);
+}
+
+#[test]
+fn checker_sees_no_second_start_once_the_first_lease_is_over() {
+    let (mut checker, now) = checker(json!({}));
+    checker.task_started(now, &attempt(0, "m-a"));
+    let later = now + LEASE + Duration::from_millis(1);
+    checker.lease_renewed("m-b", later + LEASE);
+    checker.task_started(later, &attempt(0, "m-b"));
+    assert_eq!(rules(&checker), []);
+}
+
+#[test]
+fn checker_sees_a_team_above_its_limit() {
+    let (mut checker, now) = checker(json!({}));
+    for index in 0..3 {
+        checker.task_started(now, &attempt(index, "m-a"));
+    }
+    assert_eq!(rules(&checker), [Rule::Quota]);
+}
+
+#[test]
+fn checker_sees_tasks_in_the_wrong_place() {
+    let cases = [
+        (json!({"site": "a"}), vec!["m-b"]),
+        (json!({"rigs": ["other"]}), vec!["m-a"]),
+        (json!({"loaners": false}), vec!["m-b"]),
+        (json!({"together": true}), vec!["m-a", "m-b"]),
+        (json!({"scatter": true, "pieces": 2}), vec!["m-b", "m-b2"]),
+    ];
+    for (further, machines) in cases {
+        let (mut checker, now) = checker(further.clone());
+        for (index, machine) in machines.iter().enumerate() {
+            checker.task_started(now, &attempt(index as u32, machine));
+        }
+        assert_eq!(rules(&checker), [Rule::WrongPlace], "{further}");
+    }
+}
+
+#[test]
+fn checker_sees_a_cancelled_job_running() {
+    let (mut checker, now) = checker(json!({}));
+    checker.task_started(now, &attempt(0, "m-a"));
+    checker.cancel_asked("wk-1");
+    checker.told("wk-1", told(now, 0, 200, "aborted"));
+    let late = now + Duration::from_secs(12);
+    checker.lease_renewed("m-a", late);
+    checker.look_at_cancelled(now + Duration::from_secs(9));
+    assert_eq!(rules(&checker), []);
+    checker.look_at_cancelled(late);
+    checker.look_at_cancelled(late);
+    assert_eq!(rules(&checker), [Rule::RanCancelled]);
+}
+
+#[test]
+fn checker_sees_wrong_answers() {
+    let cases: [(&[(u16, &str)], Rule); 6] = [
+        (&[(201, "queued"), (404, "")], Rule::Forgotten),
+        (&[(201, "queued"), (422, "")], Rule::Forgotten),
+        (&[(201, "queued"), (200, "done")], Rule::NotDone),
+        (&[(201, "queued"), (200, "aborted")], Rule::WentBack),
+        (&[(200, "aborted"), (200, "running")], Rule::WentBack),
+        (&[(200, "aborted"), (200, "done")], Rule::WentBack),
+    ];
+    for (number, (answers, rule)) in cases.into_iter().enumerate() {
+        let (mut checker, now) = checker(json!({}));
+        if number > 3 {
+            checker.cancel_asked("wk-1");
+        }
+        for (n, (status, phase)) in answers.iter().enumerate() {
+            checker.told("wk-1", told(now, 100 * n as u64, *status, phase));
+        }
+        assert_eq!(rules(&checker), [rule], "{answers:?}");
+    }
+}
+
+#[test]
+fn checker_sees_an_invented_job() {
+    let (mut checker, now) = checker(json!({}));
+    checker.told("wk-2", told(now, 0, 200, "queued"));
+    assert_eq!(rules(&checker), [Rule::Invented]);
+}
+
+#[test]
+fn checker_sees_jobs_left_waiting_and_that_nothing_ran() {
+    let (mut checker, now) = checker(json!({}));
+    checker.told("wk-1", told(now, 0, 201, "queued"));
+    checker.at_end(now);
+    assert_eq!(rules(&checker), [Rule::NothingRan, Rule::LeftWaiting]);
+}
--- /dev/null
+++ b/tests/soak/cloud.rs
@@ -0,0 +1,250 @@
+//! A stand-in of the cloud: it rents machines up to a limit, lists them late, and takes them back.
+
+use super::cluster::Shared;
+use super::faults::Link;
+use super::http::{query, serve, StandInRequest, StandInResponse};
+use super::links::{no_response, Delivery};
+use super::worker;
+use super::world::MachineKind;
+use rand::Rng;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// The zones of machines.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+/// How far the list lags behind, in seconds, as the settings say.
+pub const LIST_LAG_SECS: f64 = 1.0;
+const LIST_LAG: Duration = Duration::from_millis(800);
+const BOOT_MS: std::ops::Range<u64> = 200..2_500;
+/// A rented machine that never comes up.
+const NEVER_UP_SHARE: f64 = 0.03;
+
+/// A machine type as the cloud offers it.
+struct Offer {
+    name: &'static str,
+    cpus: f64,
+    gpus: f64,
+    ram_gb: f64,
+    price: f64,
+    zones: &'static [&'static str],
+}
+
+const OFFERS: [Offer; 2] = [
+    Offer {
+        name: "box",
+        cpus: 16.0,
+        gpus: 4.0,
+        ram_gb: 64.0,
+        price: 5.0,
+        zones: &ZONES,
+    },
+    Offer {
+        name: "far",
+        cpus: 32.0,
+        gpus: 8.0,
+        ram_gb: 128.0,
+        price: 9.0,
+        zones: &["a", "b"],
+    },
+];
+
+/// A rented machine.
+struct Rental {
+    kind: MachineKind,
+    rented_at: Instant,
+}
+
+#[derive(Default)]
+struct Data {
+    rentals: BTreeMap<String, Rental>,
+    answers: BTreeMap<String, Vec<String>>,
+    last_number: u32,
+    refuses_until: Option<Instant>,
+}
+
+/// The cloud.
+pub struct Cloud {
+    data: Mutex<Data>,
+    shared: Arc<Shared>,
+    max_machines: usize,
+}
+
+impl Cloud {
+    pub fn new(shared: Arc<Shared>, max_machines: usize) -> Arc<Cloud> {
+        Arc::new(Cloud {
+            data: Mutex::default(),
+            shared,
+            max_machines,
+        })
+    }
+
+    /// A port for one controller.
+    pub async fn port_for(self: &Arc<Cloud>, controller: usize) -> SocketAddr {
+        let cloud = self.clone();
+        serve(move |request| {
+            let cloud = cloud.clone();
+            async move { cloud.handle(controller, request).await }
+        })
+        .await
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Data> {
+        self.data.lock().expect("the cloud's data")
+    }
+
+    /// Refuses everything for that long.
+    pub fn refuse(&self, lasts: Duration) {
+        self.lock().refuses_until = Some(Instant::now() + lasts);
+    }
+
+    /// Refuses nothing any more.
+    pub fn mend(&self) {
+        self.lock().refuses_until = None;
+    }
+
+    /// Takes a machine back without notice.
+    pub fn reclaim(&self, id: &str) {
+        self.lock().rentals.remove(id);
+        self.shared.world().machine_gone(id);
+    }
+
+    async fn handle(&self, controller: usize, request: StandInRequest) -> StandInResponse {
+        let link = Link::Cloud(controller);
+        if self.shared.links.request(link).await == Delivery::Lost {
+            no_response().await;
+        }
+        let is_refusing = self
+            .lock()
+            .refuses_until
+            .is_some_and(|until| Instant::now() < until);
+        let response = if is_refusing {
+            (503, json!({"error": "trouble"}))
+        } else {
+            self.carry_out(&request)
+        };
+        if self.shared.links.response(link) == Delivery::Lost {
+            no_response().await;
+        }
+        response
+    }
+
+    fn carry_out(&self, request: &StandInRequest) -> StandInResponse {
+        match (request.method.as_str(), request.path.as_str()) {
+            (_, "/machine_types") => (200, machine_types()),
+            ("POST", "/rentals") => self.rent(&request.body),
+            ("POST", "/rentals/return") => self.take_back(&request.body),
+            _ => self.list(&request.path),
+        }
+    }
+
+    fn rent(&self, body: &Value) -> StandInResponse {
+        let mut data = self.lock();
+        let key = body["hire"].as_str().expect("a key").to_owned();
+        if let Some(hosts) = data.answers.get(&key) {
+            return (200, json!({"hosts": hosts}));
+        }
+        let Some(kind) = kind(body) else {
+            return (400, json!({}));
+        };
+        let room = self.max_machines.saturating_sub(data.rentals.len());
+        let count = room.min(body["number"].as_u64().unwrap_or(0) as usize);
+        if count == 0 {
+            return (503, json!({"error": "no capacity"}));
+        }
+        let hosts: Vec<String> = (0..count)
+            .map(|_| {
+                data.last_number += 1;
+                let id = format!("host-{:06}", data.last_number);
+                let rented_at = Instant::now();
+                let kind = kind.clone();
+                data.rentals.insert(id.clone(), Rental { kind, rented_at });
+                id
+            })
+            .collect();
+        data.answers.insert(key, hosts.clone());
+        drop(data);
+        for id in &hosts {
+            self.boot(id.clone(), kind.clone());
+        }
+        (200, json!({"hosts": hosts}))
+    }
+
+    fn boot(&self, id: String, kind: MachineKind) {
+        if rand::rng().random_bool(NEVER_UP_SHARE) {
+            return;
+        }
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            let boot_ms = rand::rng().random_range(BOOT_MS);
+            tokio::time::sleep(Duration::from_millis(boot_ms)).await;
+            if shared.is_rented(&id) {
+                worker::start(shared, id, kind).await;
+            }
+        });
+    }
+
+    fn take_back(&self, body: &Value) -> StandInResponse {
+        for host in body["hosts"].as_array().into_iter().flatten() {
+            self.reclaim(host.as_str().unwrap_or_default());
+        }
+        (200, json!({}))
+    }
+
+    fn list(&self, path: &str) -> StandInResponse {
+        let since = query(path, "since").unwrap_or_default();
+        let most = query(path, "most").and_then(|most| most.parse().ok());
+        let most: usize = most.unwrap_or(500);
+        let data = self.lock();
+        let world = self.shared.world();
+        let listed = data
+            .rentals
+            .iter()
+            .filter(|(id, rental)| id.as_str() > since && rental.rented_at.elapsed() > LIST_LAG);
+        let mut hosts: Vec<Value> = listed
+            .take(most + 1)
+            .map(|(id, rental)| {
+                let age = rental.rented_at.elapsed();
+                let machine = world.machines.get(id);
+                let endpoint = machine.map_or("", |machine| machine.endpoint.as_str());
+                let phase = machine.map_or("starting", |_| "running");
+                worker::listed(id, &rental.kind, endpoint, phase, age)
+            })
+            .collect();
+        let has_next = hosts.len() > most;
+        hosts.truncate(most);
+        (200, json!({"hosts": hosts, "hasNext": has_next}))
+    }
+
+    /// Whether the machine is rented.
+    pub fn is_rented(&self, id: &str) -> bool {
+        self.lock().rentals.contains_key(id)
+    }
+}
+
+/// The kind of machine that a request asks for, if it is offered.
+fn kind(body: &Value) -> Option<MachineKind> {
+    let name = body["rig"].as_str()?;
+    let zone = body["site"].as_str()?;
+    let offer = OFFERS.iter().find(|offer| offer.name == name)?;
+    let zone = offer.zones.iter().find(|offered| **offered == zone)?;
+    Some(MachineKind {
+        machine_type: offer.name,
+        zone,
+        spot: body["loaners"].as_bool()?,
+        cpus: offer.cpus,
+        gpus: offer.gpus,
+        ram_gb: offer.ram_gb,
+    })
+}
+
+fn machine_types() -> Value {
+    let offers = OFFERS.iter().map(|offer| {
+        json!({"sku": offer.name, "cpus": offer.cpus, "gpus": offer.gpus, "ramGb": offer.ram_gb, "localGb": 50,
+            "fetchGbPerS": 2.0, "hourly": offer.price, "marketPrice": offer.price / 3.0, "bootS": 1.5,
+            "sites": offer.zones})
+    });
+    json!({"rigs": offers.collect::<Vec<Value>>()})
+}
--- /dev/null
+++ b/tests/soak/cluster.rs
@@ -0,0 +1,221 @@
+//! What the parties of a run share, and how they are put together.
+
+use super::checker::{Checker, Limits};
+use super::cloud::{Cloud, ZONES};
+use super::controllers::Controllers;
+use super::faults::Link;
+use super::http::HttpClient;
+use super::links::Links;
+use super::peer_proxy;
+use super::settings::Settings;
+use super::state_store::StateStore;
+use super::worker::HEARTBEAT_INTERVAL;
+use super::world::{WorkerTimes, World};
+use rand::Rng;
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::path::Path;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::{Duration, Instant};
+
+/// How many controllers there are.
+pub const CONTROLLERS: usize = 3;
+const LEASE: Duration = Duration::from_secs(5);
+const GANG_WAIT: Duration = Duration::from_secs(6);
+const GANG_PEER: Duration = Duration::from_secs(2);
+/// Within this time of a confirmed cancellation no task of the job may run any more.
+pub const CANCEL: Duration = Duration::from_secs(15);
+const VALUE_KB: f64 = 1.0;
+/// Teams, their guaranteed GPUs and their limits.
+pub const TEAMS: [(&str, f64, f64); 2] = [("blue", 12.0, 40.0), ("red", 8.0, 24.0)];
+
+/// A share of messages that is treated in some way until a moment.
+#[derive(Clone, Copy)]
+struct ShareUntil {
+    share: f64,
+    until: Instant,
+}
+
+#[derive(Default)]
+struct MessageFaults {
+    duplicate_heartbeats: Option<ShareUntil>,
+    late_pushes: Option<ShareUntil>,
+}
+
+/// What the parties of a run share.
+pub struct Shared {
+    pub fronts: Vec<String>,
+    pub links: Arc<Links>,
+    pub client: HttpClient,
+    world: Mutex<World>,
+    message_faults: Mutex<MessageFaults>,
+    leader: AtomicUsize,
+    cloud: OnceLock<Arc<Cloud>>,
+}
+
+impl Shared {
+    pub fn world(&self) -> MutexGuard<'_, World> {
+        self.world.lock().expect("no task panics with the lock")
+    }
+
+    pub fn zone_number(&self, zone: &str) -> usize {
+        let number = ZONES.iter().position(|known| *known == zone);
+        number.expect("a known zone")
+    }
+
+    /// The controller of that name.
+    pub fn number_of(&self, name: &str) -> Option<usize> {
+        let number: usize = name.strip_prefix('n')?.parse().ok()?;
+        (number < self.fronts.len()).then_some(number)
+    }
+
+    /// A controller has answered a worker with 200.
+    pub fn note_leader(&self, controller: usize) {
+        self.leader.store(controller, Ordering::Relaxed);
+    }
+
+    /// The controller that answered a worker last.
+    pub fn leader(&self) -> usize {
+        self.leader.load(Ordering::Relaxed)
+    }
+
+    pub fn is_rented(&self, id: &str) -> bool {
+        self.cloud.get().is_some_and(|cloud| cloud.is_rented(id))
+    }
+
+    fn message_faults(&self) -> MutexGuard<'_, MessageFaults> {
+        self.message_faults.lock().expect("message faults")
+    }
+
+    pub fn duplicate_heartbeats(&self, share: f64, lasts: Duration) {
+        let until = Instant::now() + lasts;
+        self.message_faults().duplicate_heartbeats = Some(ShareUntil { share, until });
+    }
+
+    pub fn delay_pushes(&self, share: f64, lasts: Duration) {
+        let until = Instant::now() + lasts;
+        self.message_faults().late_pushes = Some(ShareUntil { share, until });
+    }
+
+    pub fn mend_messages(&self) {
+        *self.message_faults() = MessageFaults::default();
+    }
+
+    /// Whether the heartbeat that is being sent is duplicated.
+    pub fn strikes_heartbeat(&self) -> bool {
+        strikes(self.message_faults().duplicate_heartbeats)
+    }
+
+    /// Whether the push that arrives is held up.
+    pub fn strikes_push(&self) -> bool {
+        strikes(self.message_faults().late_pushes)
+    }
+}
+
+fn strikes(fault: Option<ShareUntil>) -> bool {
+    fault.is_some_and(|f| Instant::now() < f.until && rand::rng().random_bool(f.share))
+}
+
+/// All parties of a run.
+pub struct Cluster {
+    pub shared: Arc<Shared>,
+    pub store: Arc<StateStore>,
+    pub cloud: Arc<Cloud>,
+    pub controllers: Controllers,
+}
+
+impl Cluster {
+    /// Starts everything.
+    pub async fn start(directory: &Path, max_machines: usize) -> Cluster {
+        let ports = free_ports(2 * CONTROLLERS);
+        let addr = |port: &u16| format!("127.0.0.1:{port}");
+        let (front_ports, peer_ports) = ports.split_at(CONTROLLERS);
+        let fronts: Vec<String> = front_ports.iter().map(addr).collect();
+        let peer_binds: Vec<String> = peer_ports.iter().map(addr).collect();
+        let shared = Arc::new(new_shared(fronts.clone()));
+        let store = StateStore::new(CONTROLLERS, shared.links.clone());
+        let cloud = Cloud::new(shared.clone(), max_machines);
+        let _ = shared.cloud.set(cloud.clone());
+        let mut settings = Settings {
+            fronts,
+            peer_addrs: peer_proxies(&shared.links, &peer_binds).await,
+            peer_binds,
+            stores: Vec::new(),
+            clouds: Vec::new(),
+            teams: TEAMS.to_vec(),
+            heartbeat: HEARTBEAT_INTERVAL,
+            lease: LEASE,
+            gang_wait: GANG_WAIT,
+            gang_peer: GANG_PEER,
+            cancel: CANCEL,
+            value_kb: VALUE_KB,
+        };
+        for number in 0..CONTROLLERS {
+            settings.stores.push(store.port_for(number).await);
+            settings.clouds.push(cloud.port_for(number).await);
+        }
+        Cluster {
+            controllers: Controllers::start(directory, &settings),
+            shared,
+            store,
+            cloud,
+        }
+    }
+}
+
+fn new_shared(fronts: Vec<String>) -> Shared {
+    let max_gpus = TEAMS
+        .iter()
+        .map(|(name, _, max)| ((*name).to_owned(), *max));
+    let limits = Limits {
+        cancel: CANCEL,
+        max_gpus: max_gpus.collect(),
+    };
+    let times = WorkerTimes {
+        lease: LEASE,
+        gang_wait: GANG_WAIT,
+        gang_peer: GANG_PEER,
+    };
+    Shared {
+        fronts,
+        links: Arc::new(Links::default()),
+        client: HttpClient::new(),
+        world: Mutex::new(World::new(times, Checker::new(limits, Instant::now()))),
+        message_faults: Mutex::default(),
+        leader: AtomicUsize::new(0),
+        cloud: OnceLock::new(),
+    }
+}
+
+/// A proxy for each pair of controllers, in each direction.
+async fn peer_proxies(
+    links: &Arc<Links>,
+    peer_binds: &[String],
+) -> BTreeMap<(usize, usize), std::net::SocketAddr> {
+    let mut proxies = BTreeMap::new();
+    for from in 0..CONTROLLERS {
+        for to in (0..CONTROLLERS).filter(|to| *to != from) {
+            let link = Link::Peers(from, to);
+            let target = peer_binds[to].clone();
+            let addr = peer_proxy::start(links.clone(), link, target).await;
+            proxies.insert((from, to), addr);
+        }
+    }
+    proxies
+}
+
+/// Ports for controllers to listen on, below those that outgoing connections get by themselves, and other ones
+/// than `tests/loopback` takes. A controller that is killed needs its port again.
+fn free_ports(count: usize) -> Vec<u16> {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    const MIN_PORT: usize = 6_000;
+    const PORTS: usize = 5_900;
+    let first = std::process::id() as usize * 31;
+    let port = || (MIN_PORT + (first + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS) as u16;
+    (0..PORTS)
+        .map(|_| port())
+        .filter(|port| TcpListener::bind(("127.0.0.1", *port)).is_ok())
+        .take(count)
+        .collect()
+}
--- /dev/null
+++ b/tests/soak/http.rs
@@ -0,0 +1,113 @@
+//! HTTP as the stand-ins speak it: JSON bodies over connections that stay open.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use serde_json::Value;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// A request as a stand-in sees it.
+pub struct StandInRequest {
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    pub body: Value,
+}
+
+/// A status and a body.
+pub type StandInResponse = (u16, Value);
+
+/// Serves on a port of loopback until the runtime ends.
+pub async fn serve<H, F>(handler: H) -> SocketAddr
+where
+    H: Fn(StandInRequest) -> F + Send + Sync + 'static,
+    F: Future<Output = StandInResponse> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let handler = Arc::new(handler);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler = handler.clone();
+            tokio::spawn(async move {
+                let service = service_fn(move |request| respond(handler.clone(), request));
+                let connection = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                // An end in the middle of a request is one of the faults.
+                let _ = connection.await;
+            });
+        }
+    });
+    addr
+}
+
+async fn respond<H, F>(
+    handler: Arc<H>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    H: Fn(StandInRequest) -> F,
+    F: Future<Output = StandInResponse>,
+{
+    let method = request.method().to_string();
+    let path = request.uri().to_string();
+    let body = match request.into_body().collect().await {
+        Ok(body) => serde_json::from_slice(&body.to_bytes()).unwrap_or(Value::Null),
+        Err(_) => Value::Null,
+    };
+    let request = StandInRequest { method, path, body };
+    let (status, body) = handler(request).await;
+    let mut response = Response::new(Full::new(Bytes::from(body.to_string())));
+    *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+    Ok(response)
+}
+
+/// Sends requests to controllers.
+#[derive(Clone)]
+pub struct HttpClient(Client<HttpConnector, Full<Bytes>>);
+
+impl HttpClient {
+    pub fn new() -> HttpClient {
+        HttpClient(Client::builder(TokioExecutor::new()).build_http())
+    }
+
+    /// One exchange; None if there was no response in time.
+    pub async fn send(
+        &self,
+        addr: &str,
+        method: &str,
+        path: &str,
+        body: String,
+        timeout: Duration,
+    ) -> Option<StandInResponse> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{addr}{path}"))
+            .body(Full::new(Bytes::from(body)))
+            .ok()?;
+        let exchange = async {
+            let response = self.0.request(request).await.ok()?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await.ok()?.to_bytes();
+            Some((status, serde_json::from_slice(&body).unwrap_or(Value::Null)))
+        };
+        tokio::time::timeout(timeout, exchange).await.ok()?
+    }
+}
+
+/// A parameter of a path's query.
+pub fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = path.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
--- /dev/null
+++ b/tests/soak/run.rs
@@ -0,0 +1,303 @@
+//! One run: a cluster, users, the faults of a seed, then quiet, and a verdict.
+
+use super::checker::{Rule, Violation};
+use super::cluster::{Cluster, Shared, CONTROLLERS};
+use super::faults::{draw, Fault, PlannedFault, Target};
+use super::options::Options;
+use super::users::{ask, cancel, User, USERS};
+use rand::seq::IteratorRandom;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How often tasks, leases and the rules are looked at.
+const TICK: Duration = Duration::from_millis(25);
+/// After the troubles everything has this long to end: more than the 90 s in which no job with room may wait would
+/// need, in the measure of times that are a fifth of real ones.
+const QUIET: Duration = Duration::from_secs(45);
+/// The gap between the kills of a series.
+const SERIES_GAP: Duration = Duration::from_millis(1_500);
+
+/// What became of a run.
+pub struct Verdict {
+    pub seed: u64,
+    pub faults: usize,
+    pub starts: u64,
+    pub answers: u64,
+    pub accepted: usize,
+    pub ended_by_themselves: Vec<usize>,
+    pub violations: Vec<Violation>,
+    pub schedule: Vec<PlannedFault>,
+    pub directory: PathBuf,
+}
+
+impl Verdict {
+    pub fn has_failed(&self) -> bool {
+        !self.violations.is_empty() || !self.ended_by_themselves.is_empty()
+    }
+
+    /// The rules that were broken, each once.
+    pub fn rules(&self) -> Vec<Rule> {
+        let mut rules: Vec<Rule> = self.violations.iter().map(|v| v.rule).collect();
+        rules.sort();
+        rules.dedup();
+        rules
+    }
+}
+
+/// Plays one seed on a runtime of its own.
+pub fn run(seed: u64, options: &Options) -> Verdict {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let verdict = runtime.block_on(play(seed, options));
+    runtime.shutdown_background();
+    verdict
+}
+
+async fn play(seed: u64, options: &Options) -> Verdict {
+    let name = format!("chalklug-soak-{}-{seed}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    let mut cluster = Cluster::start(&directory, options.machines).await;
+    let schedule = draw(seed, CONTROLLERS, options.faults_for);
+    let ticker = tokio::spawn(advance(cluster.shared.clone()));
+    let stop = Arc::new(AtomicBool::new(false));
+    let users: Vec<_> = (0..USERS)
+        .map(|number| {
+            let user = User::new(cluster.shared.clone(), seed, number);
+            tokio::spawn(user.run(stop.clone()))
+        })
+        .collect();
+    let mut ended = strike(&mut cluster, &schedule, options.faults_for).await;
+    stop.store(true, Ordering::Relaxed);
+    for user in users {
+        user.await.expect("no user panics");
+    }
+    restore(&mut cluster);
+    wait_for_the_end(&cluster.shared).await;
+    ended.extend(cluster.controllers.ended());
+    ticker.abort();
+    verdict(seed, cluster, schedule, ended)
+}
+
+async fn advance(shared: Arc<Shared>) {
+    loop {
+        shared.world().advance(Instant::now());
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+/// Lets the faults happen. Returns the controllers that ended by themselves.
+async fn strike(
+    cluster: &mut Cluster,
+    schedule: &[PlannedFault],
+    faults_for: Duration,
+) -> Vec<usize> {
+    let began_at = Instant::now();
+    let mut recoveries = Vec::new();
+    let mut ended = Vec::new();
+    for planned in schedule {
+        wait_until(cluster, began_at + planned.at, &mut recoveries).await;
+        ended.extend(cluster.controllers.ended());
+        strike_one(cluster, &planned.fault, &mut recoveries).await;
+    }
+    wait_until(cluster, began_at + faults_for, &mut recoveries).await;
+    ended
+}
+
+/// What is to be undone of a fault, and when.
+struct Recovery {
+    at: Instant,
+    controller: usize,
+    action: RecoveryAction,
+}
+
+enum RecoveryAction {
+    Start,
+    Resume,
+}
+
+/// Waits, and undoes what is due meanwhile.
+async fn wait_until(cluster: &mut Cluster, until: Instant, recoveries: &mut Vec<Recovery>) {
+    while Instant::now() < until {
+        let now = Instant::now();
+        let (due, later) = recoveries
+            .drain(..)
+            .partition(|recovery| recovery.at <= now);
+        *recoveries = later;
+        let due: Vec<Recovery> = due;
+        for recovery in due {
+            match recovery.action {
+                RecoveryAction::Start => cluster.controllers.start_again(recovery.controller),
+                RecoveryAction::Resume => cluster.controllers.resume(recovery.controller),
+            }
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+fn targets(shared: &Shared, target: Target) -> Vec<usize> {
+    match target {
+        Target::Leader => vec![shared.leader()],
+        Target::Number(number) => vec![number],
+        Target::All => (0..CONTROLLERS).collect(),
+    }
+}
+
+async fn strike_one(cluster: &mut Cluster, fault: &Fault, recoveries: &mut Vec<Recovery>) {
+    let shared = cluster.shared.clone();
+    let now = Instant::now();
+    match fault {
+        Fault::Kill { target, back_after } => {
+            for controller in targets(&shared, *target) {
+                kill(cluster, controller, now + *back_after, recoveries);
+            }
+        }
+        Fault::KillLeadersInSeries { times } => {
+            for _ in 0..*times {
+                let now = Instant::now();
+                kill(cluster, shared.leader(), now + SERIES_GAP / 3, recoveries);
+                wait_until(cluster, now + SERIES_GAP, recoveries).await;
+            }
+        }
+        Fault::Pause { target, lasts } => {
+            for controller in targets(&shared, *target) {
+                cluster.controllers.pause(controller);
+                let at = now + *lasts;
+                let action = RecoveryAction::Resume;
+                recoveries.push(Recovery {
+                    at,
+                    controller,
+                    action,
+                });
+            }
+        }
+        Fault::Links {
+            links,
+            fault,
+            lasts,
+        } => shared.links.break_links(links, *fault, *lasts),
+        Fault::RefuseState { target, lasts } => {
+            cluster.store.refuse(&targets(&shared, *target), *lasts);
+        }
+        Fault::LateTransactions { share, lasts } => {
+            cluster.store.delay_transactions(*share, *lasts);
+        }
+        Fault::LostTransactionResponses { share, lasts } => {
+            cluster.store.lose_transaction_responses(*share, *lasts);
+        }
+        Fault::DuplicateHeartbeats { share, lasts } => shared.duplicate_heartbeats(*share, *lasts),
+        Fault::LatePushes { share, lasts } => shared.delay_pushes(*share, *lasts),
+        Fault::Hang { machines, lasts } => {
+            for id in some_machines(&shared, *machines) {
+                shared.world().hang(now, &id, *lasts);
+            }
+        }
+        Fault::Reclaim { machines } => {
+            for id in some_machines(&shared, *machines) {
+                cluster.cloud.reclaim(&id);
+            }
+        }
+        Fault::RefuseCloud { lasts } => cluster.cloud.refuse(*lasts),
+        Fault::CancelMany { jobs } => cancel_many(&shared, *jobs),
+    }
+}
+
+fn kill(
+    cluster: &mut Cluster,
+    controller: usize,
+    back_at: Instant,
+    recoveries: &mut Vec<Recovery>,
+) {
+    cluster.controllers.kill(controller);
+    recoveries.push(Recovery {
+        at: back_at,
+        controller,
+        action: RecoveryAction::Start,
+    });
+}
+
+fn some_machines(shared: &Shared, count: usize) -> Vec<String> {
+    let world = shared.world();
+    let ids = world.machines.keys().cloned();
+    ids.choose_multiple(&mut rand::rng(), count)
+}
+
+/// Users cancel jobs at the same moment, each at another controller.
+fn cancel_many(shared: &Arc<Shared>, count: usize) {
+    let unfinished = shared.world().checker.unfinished();
+    let chosen = unfinished
+        .into_iter()
+        .choose_multiple(&mut rand::rng(), count);
+    for (number, id) in chosen.into_iter().enumerate() {
+        let shared = shared.clone();
+        tokio::spawn(async move { cancel(&shared, number % CONTROLLERS, &id).await });
+    }
+}
+
+/// All troubles are over.
+fn restore(cluster: &mut Cluster) {
+    cluster.shared.links.mend_all();
+    cluster.shared.mend_messages();
+    cluster.store.mend();
+    cluster.cloud.mend();
+    cluster.controllers.restore_all();
+}
+
+/// Waits until every accepted job is over, for a bounded time; services are cancelled. Then every controller is
+/// asked about every job.
+async fn wait_for_the_end(shared: &Shared) {
+    let end = Instant::now() + QUIET;
+    while Instant::now() < end {
+        let unfinished = shared.world().checker.unfinished();
+        if unfinished.is_empty() {
+            break;
+        }
+        let services = shared.world().checker.running_services();
+        for (number, id) in services.iter().enumerate() {
+            cancel(shared, number % CONTROLLERS, id).await;
+        }
+        for (number, id) in unfinished.iter().enumerate() {
+            ask(shared, number % CONTROLLERS, id).await;
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    let accepted = shared.world().checker.accepted();
+    for id in accepted {
+        for controller in 0..CONTROLLERS {
+            ask(shared, controller, &id).await;
+        }
+    }
+    shared.world().checker.at_end(Instant::now());
+}
+
+fn verdict(
+    seed: u64,
+    cluster: Cluster,
+    schedule: Vec<PlannedFault>,
+    ended_by_themselves: Vec<usize>,
+) -> Verdict {
+    let world = cluster.shared.world();
+    let checker = &world.checker;
+    let verdict = Verdict {
+        seed,
+        faults: schedule.len(),
+        starts: checker.starts,
+        answers: checker.answers,
+        accepted: checker.accepted().len(),
+        ended_by_themselves,
+        violations: checker.violations.clone(),
+        schedule,
+        directory: cluster.controllers.directory().to_owned(),
+    };
+    drop(world);
+    verdict
+}
+
+/// Removes what a run left on disk, unless it failed and its logs are wanted.
+pub fn clean_up(directory: &Path) {
+    let _ = std::fs::remove_dir_all(directory);
+}
--- /dev/null
+++ b/tests/soak/settings.rs
@@ -0,0 +1,69 @@
+//! The settings file of each controller.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What all controllers of a run are told.
+pub struct Settings {
+    pub fronts: Vec<String>,
+    pub peer_binds: Vec<String>,
+    /// Where a controller reaches another: the proxy between them.
+    pub peer_addrs: BTreeMap<(usize, usize), SocketAddr>,
+    pub stores: Vec<SocketAddr>,
+    pub clouds: Vec<SocketAddr>,
+    /// Teams, their guaranteed GPUs and their limits.
+    pub teams: Vec<(&'static str, f64, f64)>,
+    pub heartbeat: Duration,
+    pub lease: Duration,
+    pub gang_wait: Duration,
+    pub gang_peer: Duration,
+    pub cancel: Duration,
+    /// Small pages, as many as a large cluster has.
+    pub value_kb: f64,
+}
+
+impl Settings {
+    /// The file of one controller.
+    pub fn text(&self, number: usize, list_lag_s: f64) -> String {
+        let nodes = self.fronts.len();
+        let mut text = format!(
+            "host_name = \"n{number}\"\nlocation = \"a\"\nfront = \"{}\"\npeer_bind = \"{}\"\n",
+            self.fronts[number], self.peer_binds[number]
+        );
+        for peer in (0..nodes).filter(|peer| *peer != number) {
+            let addr = self.peer_addrs[&(number, peer)];
+            let table = format!(
+                "[[siblings]]\nhost_name = \"n{peer}\"\nlocation = \"a\"\naddr = \"{addr}\"\n"
+            );
+            text.push_str(&table);
+        }
+        let (cloud, store) = (self.clouds[number], self.stores[number]);
+        let _ = write!(
+            text,
+            "[endpoints]\ncloud = \"{cloud}\"\nstate = \"{store}\"\n[facts]\nnodes = {nodes}\nclock_error_ms = 10.0\n"
+        );
+        for (name, gpus, gpus_max) in &self.teams {
+            let _ = write!(
+                text,
+                "[[facts.teams]]\nname = \"{name}\"\ngpus = {gpus:.1}\ngpus_max = {gpus_max:.1}\n"
+            );
+        }
+        let secs = Duration::as_secs_f64;
+        let _ = write!(
+            text,
+            "[facts.workers]\nreport_s = {:.2}\nlease_s = {:.2}\ngang_wait_s = {:.2}\ngang_peer_s = {:.2}\n\
+             cancel_s = {:.2}\n[facts.state]\nrps = 2000.0\nwrite_rps = 1000.0\nvalue_kb = {:.2}\ntxn_ops = 8\n\
+             [facts.cloud]\nrps = 50.0\nlist_lag_s = {list_lag_s:.2}\n\
+             [facts.quota]\ncores = 1.0\nmemory_mb = 500.0\nmax_sockets = 3000\n",
+            secs(&self.heartbeat),
+            secs(&self.lease),
+            secs(&self.gang_wait),
+            secs(&self.gang_peer),
+            secs(&self.cancel),
+            self.value_kb,
+        );
+        text
+    }
+}
--- /dev/null
+++ b/tests/soak/task.rs
@@ -0,0 +1,86 @@
+//! One task attempt on a worker.
+
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// How far an attempt is.
+#[derive(Clone, Copy, Debug)]
+pub enum Phase {
+    Fetching { ready_at: Instant },
+    Waiting { since: Instant },
+    Running { ends_at: Option<Instant> },
+    Saving { until: Instant },
+    Ended { cause: &'static str, stored: bool },
+}
+
+/// A task attempt that the worker knows.
+pub struct Task {
+    pub phase: Phase,
+}
+
+impl Task {
+    /// Waiting for its image until then.
+    pub fn fetching(ready_at: Instant) -> Task {
+        Task {
+            phase: Phase::Fetching { ready_at },
+        }
+    }
+
+    /// Refused.
+    pub fn ended(cause: &'static str) -> Task {
+        let stored = false;
+        Task {
+            phase: Phase::Ended { cause, stored },
+        }
+    }
+
+    pub fn end(&mut self, cause: &'static str, stored: bool) {
+        self.phase = Phase::Ended { cause, stored };
+    }
+
+    pub fn has_ended(&self) -> bool {
+        matches!(self.phase, Phase::Ended { .. })
+    }
+
+    /// It has its image and has not ended.
+    pub fn is_on_machine(&self) -> bool {
+        !matches!(self.phase, Phase::Fetching { .. } | Phase::Ended { .. })
+    }
+
+    /// Whether it has something to do by itself now.
+    pub fn is_due(&self, now: Instant) -> bool {
+        match self.phase {
+            Phase::Fetching { ready_at } => ready_at <= now,
+            Phase::Running { ends_at } => ends_at.is_some_and(|at| at <= now),
+            Phase::Saving { until } => until <= now,
+            Phase::Waiting { .. } | Phase::Ended { .. } => false,
+        }
+    }
+
+    /// Its machine stood still for so long.
+    pub fn postpone(&mut self, lasts: Duration) {
+        match &mut self.phase {
+            Phase::Fetching { ready_at: at }
+            | Phase::Waiting { since: at }
+            | Phase::Saving { until: at }
+            | Phase::Running { ends_at: Some(at) } => *at += lasts,
+            Phase::Running { ends_at: None } | Phase::Ended { .. } => {}
+        }
+    }
+
+    /// Its line in a status.
+    pub fn status(&self, job: &str, index: u32, attempt_id: u64) -> Value {
+        let piece = format!("{job}/{index}");
+        let phase = match self.phase {
+            Phase::Fetching { .. } => "pulling",
+            Phase::Waiting { .. } => "waiting",
+            Phase::Running { .. } => "running",
+            Phase::Saving { .. } => "saving",
+            Phase::Ended { cause, stored } => {
+                return json!({"piece": piece, "try": attempt_id, "phase": "ended", "cause": cause,
+                    "stored": stored})
+            }
+        };
+        json!({"piece": piece, "try": attempt_id, "phase": phase})
+    }
+}
--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,488 @@
+//! Machines and the tasks on them, as the published protocol says that workers behave. One lock guards them all,
+//! and the checker that watches.
+
+use super::checker::{Attempt, Checker, MachineFacts};
+use super::task::{Phase, Task};
+use chalklug::protocol::users::{JobSpec, Shape};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+/// What workers go by.
+#[derive(Clone, Copy, Debug)]
+pub struct WorkerTimes {
+    pub lease: Duration,
+    pub gang_wait: Duration,
+    pub gang_peer: Duration,
+}
+
+/// What a machine offers, and where it is.
+#[derive(Clone, Debug)]
+pub struct MachineKind {
+    pub machine_type: &'static str,
+    pub zone: &'static str,
+    pub spot: bool,
+    pub cpus: f64,
+    pub gpus: f64,
+    pub ram_gb: f64,
+}
+
+/// A job as it really is.
+#[derive(Clone, Debug)]
+pub struct RealJob {
+    pub spec: JobSpec,
+    /// How long each of its tasks runs; a service never ends.
+    pub run: Duration,
+    pub fetch: Duration,
+}
+
+type TaskKey = (String, u32);
+type GangAttempt = (String, u64);
+/// A task attempt and its machine.
+type Member = (String, (TaskKey, u64));
+
+/// One machine with its worker.
+pub struct Machine {
+    pub kind: MachineKind,
+    pub endpoint: String,
+    session: u64,
+    tick: u64,
+    token: u64,
+    lease_from: Instant,
+    hangs_until: Instant,
+    tasks: BTreeMap<(TaskKey, u64), Task>,
+    images: BTreeSet<String>,
+    /// Something has changed since the last heartbeat.
+    pub has_news: bool,
+}
+
+impl Machine {
+    fn is_hanging(&self, now: Instant) -> bool {
+        now < self.hangs_until
+    }
+
+    fn has_room_for(&self, spec: &JobSpec, jobs: &BTreeMap<String, RealJob>) -> bool {
+        let mut free = (self.kind.cpus, self.kind.gpus, self.kind.ram_gb);
+        let live = self.tasks.iter().filter(|(_, task)| !task.has_ended());
+        for (((job, _), _), _) in live {
+            let taken = &jobs[job].spec;
+            free = (
+                free.0 - taken.cpus,
+                free.1 - taken.gpus,
+                free.2 - taken.ram_gb,
+            );
+        }
+        spec.cpus <= free.0 && spec.gpus <= free.1 && spec.ram_gb <= free.2
+    }
+}
+
+/// All machines, jobs and results.
+pub struct World {
+    times: WorkerTimes,
+    pub machines: BTreeMap<String, Machine>,
+    pub jobs: BTreeMap<String, RealJob>,
+    completed: BTreeSet<TaskKey>,
+    /// What is left to run of tasks that have saved their progress.
+    remaining: BTreeMap<TaskKey, Duration>,
+    /// Since when running gang attempts have lacked a member.
+    incomplete_since: BTreeMap<GangAttempt, Instant>,
+    pub checker: Checker,
+}
+
+fn attempt_on(machine: &str, key: &(TaskKey, u64)) -> Attempt {
+    let ((job, index), attempt_id) = key;
+    Attempt {
+        job: job.clone(),
+        index: *index,
+        attempt_id: *attempt_id,
+        machine: machine.to_owned(),
+    }
+}
+
+impl World {
+    pub fn new(times: WorkerTimes, checker: Checker) -> World {
+        World {
+            times,
+            machines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            completed: BTreeSet::new(),
+            remaining: BTreeMap::new(),
+            incomplete_since: BTreeMap::new(),
+            checker,
+        }
+    }
+
+    pub fn submit(&mut self, job: RealJob) {
+        self.checker.job_submitted(job.spec.clone());
+        self.jobs.insert(job.spec.id.as_str().to_owned(), job);
+    }
+
+    pub fn machine_up(&mut self, now: Instant, id: &str, kind: MachineKind, endpoint: String) {
+        let facts = MachineFacts {
+            machine_type: kind.machine_type.into(),
+            zone: kind.zone.into(),
+            spot: kind.spot,
+            lease_until: now + self.times.lease,
+        };
+        self.checker.machine_up(id, facts);
+        let machine = Machine {
+            kind,
+            endpoint,
+            session: 1,
+            tick: 0,
+            token: 0,
+            lease_from: now,
+            hangs_until: now,
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+            has_news: true,
+        };
+        self.machines.insert(id.to_owned(), machine);
+    }
+
+    /// The machine and all on it are gone.
+    pub fn machine_gone(&mut self, id: &str) {
+        self.machines.remove(id);
+        self.checker.machine_gone(id);
+    }
+
+    /// The machine stands still until then; what its tasks have to do takes so much longer.
+    pub fn hang(&mut self, now: Instant, id: &str, lasts: Duration) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        machine.hangs_until = now + lasts;
+        for task in machine.tasks.values_mut() {
+            task.postpone(lasts);
+        }
+    }
+
+    /// Until when the machine hangs, if it does.
+    pub fn hangs_until(&self, id: &str, now: Instant) -> Option<Instant> {
+        let machine = self.machines.get(id)?;
+        machine.is_hanging(now).then_some(machine.hangs_until)
+    }
+
+    /// Lets everything happen that is due.
+    pub fn advance(&mut self, now: Instant) {
+        let ids: Vec<String> = self.machines.keys().cloned().collect();
+        for id in &ids {
+            self.advance_machine(now, id);
+        }
+        self.advance_gangs(now);
+        self.checker.look_at_cancelled(now);
+    }
+
+    fn advance_machine(&mut self, now: Instant, id: &str) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if machine.is_hanging(now) {
+            return;
+        }
+        if now > machine.lease_from + self.times.lease {
+            machine.session += 1;
+            machine.tasks.clear();
+            machine.lease_from = now;
+            machine.has_news = true;
+            self.checker.session_ended(id, now + self.times.lease);
+            return;
+        }
+        let due = machine.tasks.iter().filter(|(_, task)| task.is_due(now));
+        let due: Vec<(TaskKey, u64)> = due.map(|(key, _)| key.clone()).collect();
+        for key in due {
+            self.advance_task(now, id, &key);
+        }
+    }
+
+    fn advance_task(&mut self, now: Instant, id: &str, key: &(TaskKey, u64)) {
+        let attempt = attempt_on(id, key);
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let (Some(task), Some(job)) = (machine.tasks.get_mut(key), self.jobs.get(&key.0 .0)) else {
+            return;
+        };
+        machine.has_news = true;
+        match task.phase {
+            Phase::Fetching { .. } => {
+                machine.images.insert(job.spec.image.as_str().to_owned());
+                self.checker.task_started(now, &attempt);
+                if self.completed.contains(&key.0) {
+                    task.end("done", false);
+                    self.checker.task_completed(&attempt);
+                } else if job.spec.shape == Shape::Gang {
+                    task.phase = Phase::Waiting { since: now };
+                } else {
+                    let run = self.remaining.get(&key.0).copied().unwrap_or(job.run);
+                    let ends_at = (job.spec.shape == Shape::Array).then_some(now + run);
+                    task.phase = Phase::Running { ends_at };
+                }
+            }
+            Phase::Running { .. } if job.spec.shape == Shape::Array => {
+                task.end("done", false);
+                self.completed.insert(key.0.clone());
+                self.checker.task_completed(&attempt);
+            }
+            Phase::Saving { .. } => {
+                task.end("halted", true);
+                self.checker.task_left(&attempt);
+            }
+            Phase::Running { .. } | Phase::Waiting { .. } | Phase::Ended { .. } => {}
+        }
+    }
+
+    fn gang_members(&self) -> BTreeMap<GangAttempt, Vec<Member>> {
+        let mut gangs: BTreeMap<GangAttempt, Vec<_>> = BTreeMap::new();
+        for (id, machine) in &self.machines {
+            for (key, task) in &machine.tasks {
+                let ((job, _), attempt_id) = key;
+                let is_gang = self.jobs[job].spec.shape == Shape::Gang;
+                if is_gang && task.is_on_machine() {
+                    let gang = (job.clone(), *attempt_id);
+                    let member = (id.clone(), key.clone());
+                    gangs.entry(gang).or_default().push(member);
+                }
+            }
+        }
+        gangs
+    }
+
+    fn advance_gangs(&mut self, now: Instant) {
+        for (gang, members) in self.gang_members() {
+            self.advance_gang(now, &gang, &members);
+        }
+    }
+
+    fn advance_gang(&mut self, now: Instant, gang: &GangAttempt, members: &[Member]) {
+        let size = self.jobs[&gang.0].spec.tasks as usize;
+        let run = self.jobs[&gang.0].run;
+        let mut counts = GangCounts::default();
+        for (id, key) in members {
+            let machine = &self.machines[id];
+            counts.add(now, &machine.tasks[key], machine.is_hanging(now));
+        }
+        if counts.waiting == size {
+            let running = Phase::Running {
+                ends_at: Some(now + run),
+            };
+            self.set_phases(members, running);
+        } else if counts.running == size {
+            self.incomplete_since.remove(gang);
+            if counts.finished == size {
+                self.end_members(now, members, "done");
+            }
+        } else if counts.running > 0 {
+            let since = *self.incomplete_since.entry(gang.clone()).or_insert(now);
+            if now - since > self.times.gang_peer {
+                self.end_members(now, members, "mates_gone");
+            }
+        } else {
+            self.give_up_waiting(now, members);
+        }
+    }
+
+    fn set_phases(&mut self, members: &[Member], phase: Phase) {
+        for (id, key) in members {
+            if let Some(machine) = self.machines.get_mut(id) {
+                machine.has_news = true;
+                machine
+                    .tasks
+                    .entry(key.clone())
+                    .and_modify(|task| task.phase = phase);
+            }
+        }
+    }
+
+    /// Ends the members whose machines don't hang.
+    fn end_members(&mut self, now: Instant, members: &[Member], cause: &'static str) {
+        if cause == "done" {
+            for (_, key) in members {
+                self.completed.insert(key.0.clone());
+            }
+        }
+        for (id, key) in members {
+            let Some(machine) = self.machines.get_mut(id).filter(|m| !m.is_hanging(now)) else {
+                continue;
+            };
+            machine.has_news = true;
+            if let Some(task) = machine.tasks.get_mut(key) {
+                task.end(cause, false);
+            }
+            let attempt = attempt_on(id, key);
+            match cause {
+                "done" => self.checker.task_completed(&attempt),
+                _ => self.checker.task_left(&attempt),
+            }
+        }
+    }
+
+    fn give_up_waiting(&mut self, now: Instant, members: &[Member]) {
+        let gang_wait = self.times.gang_wait;
+        let gives_up = |(id, key): &&Member| {
+            let task = &self.machines[id].tasks[key];
+            matches!(task.phase, Phase::Waiting { since } if now - since > gang_wait)
+        };
+        let given_up: Vec<_> = members.iter().filter(gives_up).cloned().collect();
+        self.end_members(now, &given_up, "incomplete");
+    }
+
+    /// The machine's status: a new message.
+    pub fn status(&mut self, id: &str) -> Option<Value> {
+        let machine = self.machines.get_mut(id)?;
+        machine.tick += 1;
+        let tasks = machine.tasks.iter();
+        let tasks: Vec<Value> = tasks
+            .map(|(((job, index), attempt_id), task)| task.status(job, *index, *attempt_id))
+            .collect();
+        Some(
+            json!({"host": id, "endpoint": machine.endpoint, "rig": machine.kind.machine_type,
+            "site": machine.kind.zone, "loaners": machine.kind.spot, "tenure": machine.session,
+            "tick": machine.tick, "baton": machine.token, "recallS": null, "pieces": tasks}),
+        )
+    }
+
+    /// The session that a heartbeat sent now belongs to.
+    pub fn session(&self, id: &str) -> Option<u64> {
+        Some(self.machines.get(id)?.session)
+    }
+
+    /// A controller has answered a heartbeat with 200.
+    pub fn heartbeat_answered(
+        &mut self,
+        now: Instant,
+        id: &str,
+        session: u64,
+        sent_at: Instant,
+        response: &Value,
+    ) {
+        self.advance_machine(now, id);
+        let lease = self.times.lease;
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let token = response["baton"].as_u64();
+        if machine.session != session || token.is_none_or(|token| token < machine.token) {
+            return;
+        }
+        machine.lease_from = machine.lease_from.max(sent_at);
+        self.checker.lease_renewed(id, sent_at + lease);
+        self.execute(now, id, response);
+    }
+
+    /// Pushed commands. True if they were executed.
+    pub fn push(&mut self, now: Instant, id: &str, body: &Value) -> bool {
+        self.advance_machine(now, id);
+        let Some(machine) = self.machines.get(id) else {
+            return false;
+        };
+        let is_current = body["baton"].as_u64() >= Some(machine.token)
+            && body["tenure"].as_u64() == Some(machine.session);
+        if is_current {
+            self.execute(now, id, body);
+        }
+        is_current
+    }
+
+    fn execute(&mut self, now: Instant, id: &str, body: &Value) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let token = body["baton"].as_u64().unwrap_or(0);
+        machine.has_news |= token > machine.token;
+        machine.token = token;
+        for order in body["orders"].as_array().into_iter().flatten() {
+            let Some((job, index)) = order["piece"].as_str().and_then(|t| t.split_once('/')) else {
+                continue;
+            };
+            let task_key = (job.to_owned(), index.parse().unwrap_or(u32::MAX));
+            let key = (task_key, order["try"].as_u64().unwrap_or(0));
+            match order["verb"].as_str() {
+                Some("launch") => self.launch(now, id, key),
+                Some("stop") => self.stop(now, id, &key, order["windDownS"].as_f64()),
+                _ => self.clear(id, &key),
+            }
+        }
+    }
+
+    fn launch(&mut self, now: Instant, id: &str, key: (TaskKey, u64)) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if machine.tasks.contains_key(&key) {
+            return;
+        }
+        machine.has_news = true;
+        let is_busy = machine
+            .tasks
+            .iter()
+            .any(|((task, _), other)| *task == key.0 && !other.has_ended());
+        let task = match self.jobs.get(&key.0 .0) {
+            None => return,
+            Some(_) if is_busy => Task::ended("busy"),
+            Some(job) if !machine.has_room_for(&job.spec, &self.jobs) => Task::ended("full"),
+            Some(job) if machine.images.contains(job.spec.image.as_str()) => Task::fetching(now),
+            Some(job) => Task::fetching(now + job.fetch),
+        };
+        machine.tasks.insert(key, task);
+    }
+
+    fn stop(&mut self, now: Instant, id: &str, key: &(TaskKey, u64), wind_down_s: Option<f64>) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(task) = machine.tasks.get_mut(key).filter(|task| !task.has_ended()) else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&key.0 .0) else {
+            return;
+        };
+        machine.has_news = true;
+        let saves = job.spec.checkpoint_s > 0.0 && wind_down_s >= Some(job.spec.save_s);
+        match task.phase {
+            Phase::Running { ends_at: Some(at) } if saves && job.spec.shape == Shape::Array => {
+                let left = at.saturating_duration_since(now);
+                self.remaining.insert(key.0.clone(), left);
+                let until = now + Duration::from_secs_f64(job.spec.save_s);
+                task.phase = Phase::Saving { until };
+            }
+            Phase::Saving { .. } if wind_down_s != Some(0.0) => {}
+            _ => {
+                task.end("halted", false);
+                self.checker.task_left(&attempt_on(id, key));
+            }
+        }
+    }
+
+    fn clear(&mut self, id: &str, key: &(TaskKey, u64)) {
+        if let Some(machine) = self.machines.get_mut(id) {
+            if machine.tasks.get(key).is_some_and(Task::has_ended) {
+                machine.tasks.remove(key);
+            }
+        }
+    }
+}
+
+/// The members of a gang attempt that are on machines.
+#[derive(Default)]
+struct GangCounts {
+    waiting: usize,
+    running: usize,
+    finished: usize,
+}
+
+impl GangCounts {
+    fn add(&mut self, now: Instant, task: &Task, is_hanging: bool) {
+        if is_hanging {
+            return;
+        }
+        match task.phase {
+            Phase::Waiting { .. } => self.waiting += 1,
+            Phase::Running { ends_at } => {
+                self.running += 1;
+                self.finished += usize::from(ends_at.is_some_and(|at| at <= now));
+            }
+            _ => {}
+        }
+    }
+}
