Forecast: a service has no end

Change: tasks of a service are assigned like members of a gang, none after another; what they take is never released; expected services stay services.

--- a/src/coordination/autoscaler/forecast/assignment.rs
+++ b/src/coordination/autoscaler/forecast/assignment.rs
@@ -122,13 +122,17 @@
 impl<'a> Assignment<'a> {
     fn new(view: &'a AutoscalerView<'a>, batch: &'a TaskBatch<'a>) -> Assignment<'a> {
         let spec = batch.spec;
-        // Tasks of a gang run at once: none can follow another in the same place.
-        let is_gang = spec.shape == Shape::Gang && batch.count > 1;
+        // Tasks of a gang run at once, and those of a service never end: none can follow another in the same place.
+        let run_at_once = match spec.shape {
+            Shape::Gang => batch.count > 1,
+            Shape::Service => true,
+            Shape::Array => false,
+        };
         Assignment {
             view,
             batch,
             request: Resources::of(spec),
-            run_s: if is_gang {
+            run_s: if run_at_once {
                 f64::INFINITY
             } else {
                 view.run_time_s(spec)
--- a/src/coordination/autoscaler/forecast/expected_arrivals.rs
+++ b/src/coordination/autoscaler/forecast/expected_arrivals.rs
@@ -74,7 +74,9 @@
 /// A job whose tasks are like those of another, but need not run at once or in one zone.
 fn single_tasks_like(job: &JobSpec) -> JobSpec {
     let mut spec = job.clone();
-    spec.shape = Shape::Array;
+    if spec.shape == Shape::Gang {
+        spec.shape = Shape::Array;
+    }
     spec.together = false;
     spec
 }
--- a/src/coordination/autoscaler/forecast/simulated_cluster.rs
+++ b/src/coordination/autoscaler/forecast/simulated_cluster.rs
@@ -10,6 +10,7 @@
 use crate::coordination::machines::machine::{Machine, MachineState};
 use crate::coordination::placement::candidates::free_fraction;
 use crate::ids::Zone;
+use crate::protocol::users::Shape;
 use std::collections::BTreeMap;
 
 /// A booting machine counts as coming for this many boot times.
@@ -150,13 +151,17 @@
     })
 }
 
-/// When a task attempt should free its capacity; None if nothing is known of its job.
+/// When a task attempt should free its capacity; None if nothing is known of its job, or if it is of a service,
+/// which has no end.
 fn release_of(
     view: &AutoscalerView<'_>,
     machine: &Machine,
     attempt: &TaskAttempt,
 ) -> Option<Release> {
     let job = view.jobs().get(&attempt.task.job)?;
+    if job.spec().shape == Shape::Service {
+        return None;
+    }
     let left_s = match attempt.running_since {
         Some(since) => view.remaining_run_time_s(job, (view.now() - since).secs()),
         None => view.run_time_of_job_s(job) + fetch_left_s(view, machine, attempt),
