--- a/tests/soak/checker_sees.rs
+++ b/tests/soak/checker_sees.rs
@@ -1,6 +1,8 @@
 //! The checker sees each rule broken: a planted violation of each.
 
 use super::checker::{Attempt, Checker, Limits, MachineFacts, Rule, Told};
+use super::starvation::WaitingJobs;
+use super::world::{MachineKind, RealJob, WorkerTimes, World};
 use chalklug::protocol::users::parse_submission;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -155,3 +157,42 @@
     checker.at_end(now);
     assert_eq!(rules(&checker), [Rule::NothingRan, Rule::LeftWaiting]);
 }
+
+/// A job for which there is room, and which is nowhere, is seen after a while; one whose team is at its limit isn't.
+#[test]
+fn checker_sees_a_job_that_waits_beside_room_for_it() {
+    let (checker, now) = checker(json!({}));
+    let times = WorkerTimes {
+        lease: LEASE,
+        gang_wait: LEASE,
+        gang_peer: LEASE,
+    };
+    let mut world = World::new(times, checker);
+    let kind = MachineKind {
+        machine_type: "box",
+        zone: "a",
+        spot: false,
+        cpus: 8.0,
+        gpus: 8.0,
+        ram_gb: 8.0,
+    };
+    world.machine_up(now, "m-a", kind, String::new());
+    let spec = world.checker.spec("wk-1").expect("the job").clone();
+    let job = RealJob {
+        spec,
+        run: LEASE,
+        fetch: LEASE,
+    };
+    world.submit(job);
+    world.checker.told("wk-1", told(now, 0, 201, "queued"));
+    let mut waiting = WaitingJobs::default();
+    assert!(waiting.look(now, &world).is_empty());
+    let later = now + Duration::from_secs(19);
+    assert_eq!(waiting.look(later, &world), ["wk-1"]);
+    assert!(waiting.look(later, &world).is_empty(), "each once");
+    let too_large = world.jobs.get_mut("wk-1").expect("the job");
+    too_large.spec.gpus = 3.0;
+    let mut waiting = WaitingJobs::default();
+    waiting.look(now, &world);
+    assert!(waiting.look(later, &world).is_empty(), "above the limit");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod peer_proxy;
 mod run;
 mod settings;
+mod starvation;
 mod state_store;
 mod task;
 mod users;
