--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -27,8 +27,22 @@
 /// Within this time of a confirmed cancellation no task of the job may run any more.
 pub const CANCEL: Duration = Duration::from_secs(15);
 const VALUE_KB: f64 = 1.0;
+/// Teams, their guaranteed GPUs and their limits, in a cluster of [`SMALL_CLUSTER`] machines.
+const TEAMS: [(&str, f64, f64); 2] = [("blue", 12.0, 40.0), ("red", 8.0, 24.0)];
+/// Machines for which the teams' limits are meant; larger clusters have larger limits and jobs.
+const SMALL_CLUSTER: usize = 24;
+
+/// How much larger a cluster of so many machines is than a small one.
+pub fn scale_of(machines: usize) -> u32 {
+    (machines / SMALL_CLUSTER).max(1) as u32
+}
+
 /// Teams, their guaranteed GPUs and their limits.
-pub const TEAMS: [(&str, f64, f64); 2] = [("blue", 12.0, 40.0), ("red", 8.0, 24.0)];
+fn teams(scale: u32) -> Vec<(&'static str, f64, f64)> {
+    let factor = f64::from(scale);
+    let scaled = |(name, gpus, max): (&'static str, f64, f64)| (name, gpus * factor, max * factor);
+    TEAMS.into_iter().map(scaled).collect()
+}
 
 /// A share of messages that is treated in some way until a moment.
 #[derive(Clone, Copy)]
@@ -133,7 +147,8 @@
         let (front_ports, peer_ports) = ports.split_at(CONTROLLERS);
         let fronts: Vec<String> = front_ports.iter().map(addr).collect();
         let peer_binds: Vec<String> = peer_ports.iter().map(addr).collect();
-        let shared = Arc::new(new_shared(fronts.clone()));
+        let teams = teams(scale_of(max_machines));
+        let shared = Arc::new(new_shared(fronts.clone(), &teams));
         let store = StateStore::new(CONTROLLERS, shared.links.clone());
         let cloud = Cloud::new(shared.clone(), max_machines);
         let _ = shared.cloud.set(cloud.clone());
@@ -143,7 +158,7 @@
             peer_binds,
             stores: Vec::new(),
             clouds: Vec::new(),
-            teams: TEAMS.to_vec(),
+            teams,
             heartbeat: HEARTBEAT_INTERVAL,
             lease: LEASE,
             gang_wait: GANG_WAIT,
@@ -164,8 +179,8 @@
     }
 }
 
-fn new_shared(fronts: Vec<String>) -> Shared {
-    let max_gpus = TEAMS
+fn new_shared(fronts: Vec<String>, teams: &[(&str, f64, f64)]) -> Shared {
+    let max_gpus = teams
         .iter()
         .map(|(name, _, max)| ((*name).to_owned(), *max));
     let limits = Limits {
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -1,7 +1,7 @@
 //! One run: a cluster, users, the faults of a seed, then quiet, and a verdict.
 
 use super::checker::{Rule, Violation};
-use super::cluster::{Cluster, Shared, CONTROLLERS};
+use super::cluster::{scale_of, Cluster, Shared, CONTROLLERS};
 use super::faults::{draw, Fault, PlannedFault, Target};
 use super::options::Options;
 use super::starvation::WaitingJobs;
@@ -68,7 +68,8 @@
     let stop = Arc::new(AtomicBool::new(false));
     let users: Vec<_> = (0..USERS)
         .map(|number| {
-            let user = User::new(cluster.shared.clone(), seed, number);
+            let scale = scale_of(options.machines);
+            let user = User::new(cluster.shared.clone(), seed, number, scale);
             tokio::spawn(user.run(stop.clone()))
         })
         .collect();
--- a/tests/soak/users.rs
+++ b/tests/soak/users.rs
@@ -1,7 +1,7 @@
 //! Users: they submit, ask, repeat and cancel, at all controllers, all the time.
 
 use super::checker::Told;
-use super::cluster::{Shared, TEAMS};
+use super::cluster::Shared;
 use super::world::RealJob;
 use chalklug::protocol::users::{parse_submission, JobSpec};
 use rand::rngs::StdRng;
@@ -26,16 +26,19 @@
     shared: Arc<Shared>,
     rng: StdRng,
     number: u64,
+    /// How many times as many tasks as in a small cluster jobs have.
+    scale: u32,
     submitted: u32,
     mine: Vec<Value>,
 }
 
 impl User {
-    pub fn new(shared: Arc<Shared>, seed: u64, number: u64) -> User {
+    pub fn new(shared: Arc<Shared>, seed: u64, number: u64, scale: u32) -> User {
         User {
             shared,
             rng: StdRng::seed_from_u64(seed * USERS + number),
             number,
+            scale,
             submitted: 0,
             mine: Vec::new(),
         }
@@ -61,7 +64,7 @@
     async fn submit_new(&mut self) {
         let id = format!("wk-{}{:05}", self.number + 1, self.submitted);
         self.submitted += 1;
-        let spec = draw_job(&mut self.rng, &id);
+        let spec = draw_job(&mut self.rng, &id, self.scale);
         let parsed = parse_submission(spec.to_string().as_bytes()).expect("a job");
         let job = real_job(&mut self.rng, parsed.spec);
         self.shared.world().submit(job);
@@ -156,7 +159,7 @@
 }
 
 /// A job with constraints of any kind.
-fn draw_job(rng: &mut StdRng, id: &str) -> Value {
+fn draw_job(rng: &mut StdRng, id: &str, scale: u32) -> Value {
     let shape = *["array", "array", "gang", "standing"]
         .choose(rng)
         .expect("a shape");
@@ -164,7 +167,7 @@
         "array" => rng.random_range(1..24),
         "gang" => rng.random_range(1..6),
         _ => rng.random_range(1..9),
-    };
+    } * scale;
     let together = shape != "standing" && rng.random_bool(0.45);
     let scatter = shape == "standing" || (!together && rng.random_bool(0.15));
     let zone = (!scatter && rng.random_bool(0.2)).then(|| *["a", "b"].choose(rng).expect("a zone"));
@@ -172,7 +175,7 @@
         .random_bool(0.2)
         .then(|| *["box", "far"].choose(rng).expect("a type"));
     let checkpoint_s = if rng.random_bool(0.3) { 1.0 } else { 0.0 };
-    let team = TEAMS.choose(rng).expect("a team").0;
+    let team = *["blue", "red"].choose(rng).expect("a team");
     let urgency = *["low", "normal", "normal", "urgent", "production"]
         .choose(rng)
         .expect("an urgency");
