--- a/src/coordination/attempts/stops.rs
+++ b/src/coordination/attempts/stops.rs
@@ -167,12 +167,18 @@
     /// too, but from a machine that reaches no controller none comes. One that was not heard of at all
     /// lately is left alone: a zone beyond a cut would take the connections of all others.
     pub(crate) fn stop_again(&mut self, now: Instant, machine_id: &MachineId) {
-        let silence = self.policy.heartbeat_timeout();
-        let near = |m: &&mut Machine| m.last_message_at.is_some_and(|h| now - h <= silence);
-        if let Some(m) = self.machines.get_mut(machine_id).filter(near) {
-            for w in m.attempts.iter_mut().filter_map(|s| s.stop.as_mut()) {
-                w.pushed = false;
-            }
+        let max_silence = self.policy.heartbeat_timeout();
+        let machine = self.machines.get_mut(machine_id);
+        let heard_lately = machine.filter(|machine| {
+            let last_message_at = machine.last_message_at;
+            last_message_at.is_some_and(|at| now - at <= max_silence)
+        });
+        let Some(machine) = heard_lately else {
+            return;
+        };
+        let attempts = machine.attempts.iter_mut();
+        for request in attempts.filter_map(|attempt| attempt.stop.as_mut()) {
+            request.pushed = false;
         }
     }
 
@@ -183,17 +189,19 @@
         }
     }
 
-    pub(crate) fn stop_command(s: &TaskAttempt, now: Instant) -> Option<Command> {
-        let wish = s.stop?;
-        let saving = s.last_status.filter(|x| x.phase == TaskPhase::Saving);
-        let grace_s = match saving {
-            Some(x) if (now - x.since).secs() <= wish.grace_s => return None,
+    /// The command that stops an attempt, if its stop was requested. None while it saves its progress in the time
+    /// that it was given; after that it is stopped at once.
+    pub(crate) fn stop_command(attempt: &TaskAttempt, now: Instant) -> Option<Command> {
+        let request = attempt.stop?;
+        let status = attempt.last_status;
+        let grace_s = match status.filter(|status| status.phase == TaskPhase::Saving) {
+            Some(saving) if (now - saving.since).secs() <= request.grace_s => return None,
             Some(_) => 0.0,
-            None => wish.grace_s,
+            None => request.grace_s,
         };
         Some(Command::Stop {
-            task: s.task.clone(),
-            attempt_id: s.attempt_id,
+            task: attempt.task.clone(),
+            attempt_id: attempt.attempt_id,
             grace_s,
         })
     }
