Tests: pages are split under lowered limits at 4,500 machines

Cause: the lowered state limit was tested with 400 machines, the rest of the large cluster's tests with 4,500. Change: one constant.

--- a/tests/upgrade/page_splitting.rs
+++ b/tests/upgrade/page_splitting.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-const MACHINES: u32 = 400;
+const MACHINES: u32 = 4_500;
 /// As many as a page of 8 KiB takes.
 const MACHINES_PER_PAGE: u32 = 89;
 /// So many writes are refused for their rate.
