--- a/src/cli.rs
+++ b/src/cli.rs
@@ -89,8 +89,8 @@
 }
 
 fn check(files: &ConfigFiles) -> ExitCode {
-    match files.load() {
-        Ok(_) => {
+    match config::check(&files.platform, files.operator.as_deref()) {
+        Ok(()) => {
             println!("settings are in order");
             ExitCode::SUCCESS
         }
--- a/src/config/leader_times.rs
+++ b/src/config/leader_times.rs
@@ -37,6 +37,11 @@
 const MIN_WATCH_TIMEOUT_SECS: f64 = 0.5;
 const MAX_WATCH_TIMEOUT_SECS: f64 = 10.0;
 
+/// Heartbeats are sent every `report_s`, give or take a quarter.
+const HEARTBEAT_JITTER: f64 = 1.25;
+/// An election, and what the new leader reads before it answers.
+const FAILOVER_SECS: f64 = 1.0;
+
 impl LeaderTimes {
     /// The times that keep `cancel_s`; None if it is too close to `lease_s` for any leader.
     ///
@@ -66,6 +71,13 @@
         })
     }
 
+    /// The smallest `lease_s`, in seconds, with which tasks outlive the end of a leader: a worker's last answer is a
+    /// heartbeat old by then, the leader's lease has to run out, and the next leader to be elected and recovered.
+    pub fn min_worker_lease_secs(&self, workers: &WorkerTimes) -> f64 {
+        let longest_heartbeat_gap_secs = workers.report_s * HEARTBEAT_JITTER;
+        self.lease_duration.secs() + longest_heartbeat_gap_secs + FAILOVER_SECS
+    }
+
     /// The smallest `cancel_s`, in seconds, for which a leader's times can be derived.
     pub fn min_cancel_secs(workers: &WorkerTimes) -> f64 {
         workers.lease_s * CLOCK_DRIFT + STOPPING_SECS + MIN_STALENESS_SECS * CLOCK_DRIFT
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -83,6 +83,13 @@
     })
 }
 
+/// Reads and checks both files as [`load`] does, and checks what a controller could start with but should not be
+/// deployed with.
+pub fn check(platform_file: &Path, operator_file: Option<&Path>) -> Result<(), ConfigError> {
+    let config = load(platform_file, operator_file)?;
+    validation::check_worker_lease(platform_file, &config)
+}
+
 fn load_operator(file: &Path) -> Result<OperatorConfig, ConfigError> {
     let operator = parse(file, |text| {
         serde_json::from_str(text).map_err(|error| error.to_string())
--- a/src/config/validation.rs
+++ b/src/config/validation.rs
@@ -3,7 +3,7 @@
 use super::leader_times::LeaderTimes;
 use super::operator::OperatorConfig;
 use super::platform::{NextStateStoreLimits, PlatformConfig, Team, WorkerTimes};
-use super::ConfigError;
+use super::{Config, ConfigError};
 use std::fmt::Display;
 use std::path::Path;
 
@@ -126,6 +126,25 @@
     Checker { file }.error("facts.workers.cancel_s", workers.cancel_s, &requirement)
 }
 
+/// Checks that tasks outlive the end of a leader. A controller starts without it: the rules hold all the same, but
+/// each failover would end every task.
+pub fn check_worker_lease(file: &Path, config: &Config) -> Result<(), ConfigError> {
+    let workers = &config.platform.facts.workers;
+    let min_secs = config.leader.min_worker_lease_secs(workers);
+    let requirement = format!(
+        "must be at least {min_secs:.1}, or each failover ends every task: a worker waits for the leader's lease to run out \
+         (`leader_life_ms`), for an election, and for its next heartbeat (`facts.workers.report_s`)"
+    );
+    let is_long_enough = workers.lease_s >= min_secs;
+    let checker = Checker { file };
+    checker.require(
+        is_long_enough,
+        "facts.workers.lease_s",
+        workers.lease_s,
+        &requirement,
+    )
+}
+
 /// Checks the operators' settings.
 pub fn check_operator(file: &Path, operator: &OperatorConfig) -> Result<(), ConfigError> {
     let checker = Checker { file };
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -171,6 +171,24 @@
     );
 }
 
+/// Workers' leases shorter than a failover takes: every one of them would end all tasks.
+#[test]
+fn worker_lease_shorter_than_a_failover_is_rejected_with_what_would_do() {
+    let short = GOOD.replace("lease_s = 20.0", "lease_s = 8.7");
+    let (code, text) = check("short-lease", &short, None);
+    let right = "field `facts.workers.lease_s` is 8.7: must be at least 8.8, or each failover ends every task";
+    assert_eq!(code, 2);
+    assert!(
+        text.contains("platform.toml") && text.contains(right),
+        "{text}"
+    );
+    let enough = GOOD.replace("lease_s = 20.0", "lease_s = 8.8");
+    assert_eq!(check("long-lease", &enough, None).0, 0);
+    // A shorter life of the leader's lease leaves room for a shorter one of the workers.
+    let quick = Some(r#"{"leader_life_ms": 3000}"#);
+    assert_eq!(check("quick-leader", &short, quick).0, 0);
+}
+
 /// The platform may name objectives that the scheduler has no use for; they are no reason to refuse its settings.
 #[test]
 fn objectives_of_every_kind_are_read() {
