Tests: one state store's data for both stand-ins

Cause: the soak's stand-in repeated the loopback's keys, transactions and leases. Change: tests/support/store_data.rs; the loopback's stand-in now pages lists, refuses a put under an ended lease whatever the preconditions, and notes no change for a key that was not there, as the protocol says.

--- a/tests/loopback/http.rs
+++ b/tests/loopback/http.rs
@@ -101,11 +101,3 @@
         }
     }
 }
-
-/// A parameter of the path's query.
-pub fn query(path: &str, name: &str) -> Option<String> {
-    let (_, query) = path.split_once('?')?;
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let (_, value) = pairs.find(|(key, _)| *key == name)?;
-    Some(value.to_owned())
-}
--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -9,6 +9,8 @@
 mod http;
 mod invalid_requests;
 mod state_store;
+#[path = "../support/store_data.rs"]
+mod store_data;
 mod store_proxy;
 mod terminal_states;
 mod worker;
--- a/tests/soak/cloud.rs
+++ b/tests/soak/cloud.rs
@@ -2,8 +2,9 @@
 
 use super::cluster::Shared;
 use super::faults::Link;
-use super::http::{query, serve, StandInRequest, StandInResponse};
+use super::http::{serve, StandInRequest, StandInResponse};
 use super::links::{no_response, Delivery};
+use super::store_data::query;
 use super::worker;
 use super::world::MachineKind;
 use rand::Rng;
--- a/tests/soak/http.rs
+++ b/tests/soak/http.rs
@@ -104,10 +104,3 @@
         tokio::time::timeout(timeout, exchange).await.ok()?
     }
 }
-
-/// A parameter of a path's query.
-pub fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
-    let (_, query) = path.split_once('?')?;
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,6 +17,8 @@
 mod settings;
 mod starvation;
 mod state_store;
+#[path = "../support/store_data.rs"]
+mod store_data;
 mod task;
 mod users;
 mod worker;
--- /dev/null
+++ b/tests/support/store_data.rs
@@ -0,0 +1,201 @@
+//! What a state store keeps, for the stand-ins of it: keys, transactions and leases as the published protocol has them.
+
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// Items in one response.
+const MAX_ITEMS: usize = 1_000;
+
+/// A status and a body.
+type StandInResponse = (u16, Value);
+
+/// A value with its key revision, and the lease that it goes with.
+struct Item {
+    data: Value,
+    revision: u64,
+    lease: Option<u64>,
+}
+
+struct Lease {
+    expires_at: Instant,
+    life: Duration,
+}
+
+/// All that the store keeps.
+#[derive(Default)]
+pub struct Data {
+    pub store_revision: u64,
+    items: BTreeMap<String, Item>,
+    changes: Vec<(u64, String)>,
+    leases: BTreeMap<u64, Lease>,
+    last_lease: u64,
+}
+
+impl Data {
+    fn put(&mut self, key: &str, data: Value, lease: Option<u64>) {
+        let revision = self.store_revision;
+        self.changes.push((revision, key.into()));
+        let item = Item {
+            data,
+            revision,
+            lease,
+        };
+        self.items.insert(key.into(), item);
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.changes.push((self.store_revision, key.into()));
+        }
+    }
+
+    fn revision_of(&self, key: &str) -> u64 {
+        self.items.get(key).map_or(0, |item| item.revision)
+    }
+
+    /// Ends the leases that were not renewed in time.
+    pub fn expire_leases(&mut self, now: Instant) {
+        let leases = self.leases.iter();
+        let expired = leases.filter(|(_, lease)| lease.expires_at < now);
+        let expired: Vec<u64> = expired.map(|(id, _)| *id).collect();
+        for id in expired {
+            self.end_lease(id);
+        }
+    }
+
+    /// An outage ends: every lease has its full time again.
+    #[allow(dead_code, reason = "not every stand-in has outages")]
+    pub fn renew_all_leases(&mut self, now: Instant) {
+        for lease in self.leases.values_mut() {
+            lease.expires_at = now + lease.life;
+        }
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        let items = self.items.iter();
+        let attached = items.filter(|(_, item)| item.lease == Some(id));
+        let keys: Vec<String> = attached.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.store_revision += 1;
+            self.delete(&key);
+        }
+    }
+
+    fn grant_lease(&mut self, body: &Value) -> StandInResponse {
+        let life = Duration::from_millis(body["lifeMs"].as_u64().expect("a life"));
+        self.last_lease += 1;
+        let lease = Lease {
+            expires_at: Instant::now() + life,
+            life,
+        };
+        self.leases.insert(self.last_lease, lease);
+        (200, json!({"hold": self.last_lease}))
+    }
+
+    /// A lease is granted, renewed or ended.
+    pub fn handle_lease(&mut self, method: &str, rest: &str, body: &Value) -> StandInResponse {
+        if rest.is_empty() {
+            return self.grant_lease(body);
+        }
+        let id = rest.trim_start_matches('/').split('/').next();
+        let id: u64 = id.and_then(|id| id.parse().ok()).expect("a lease's id");
+        if method == "DELETE" {
+            self.end_lease(id);
+            return (200, json!({}));
+        }
+        match self.leases.get_mut(&id) {
+            Some(lease) => {
+                lease.expires_at = Instant::now() + lease.life;
+                (200, json!({}))
+            }
+            None => (404, json!({})),
+        }
+    }
+
+    /// Carries a transaction out if all its preconditions hold and its leases live.
+    pub fn handle_transaction(&mut self, body: &Value) -> StandInResponse {
+        let empty = Vec::new();
+        let preconditions = body["guards"].as_array().unwrap_or(&empty).iter();
+        let holds = |p: &&Value| Some(self.revision_of(text(&p["key"]))) == p["stamp"].as_u64();
+        let failed: Vec<Value> = preconditions
+            .filter(|p| !holds(p))
+            .map(|p| p["key"].clone())
+            .collect();
+        let changes = body["apply"].as_array().unwrap_or(&empty);
+        let lease_of = |change: &Value| change["hold"].as_u64();
+        let has_ended = |lease: u64| !self.leases.contains_key(&lease);
+        if changes.iter().filter_map(lease_of).any(has_ended) {
+            return (400, json!({"error": "no such lease"}));
+        }
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "epoch": self.store_revision}));
+        }
+        if !changes.is_empty() {
+            self.store_revision += 1;
+        }
+        for change in changes {
+            match change["put"].as_str() {
+                Some(key) => self.put(key, change["data"].clone(), lease_of(change)),
+                None => self.delete(text(&change["delete"])),
+            }
+        }
+        (200, json!({"epoch": self.store_revision}))
+    }
+
+    /// One key.
+    pub fn get(&self, key: &str) -> StandInResponse {
+        match self.items.get(key) {
+            Some(item) => (
+                200,
+                json!({"key": key, "data": item.data, "stamp": item.revision, "hold": item.lease}),
+            ),
+            None => (404, json!({"epoch": self.store_revision})),
+        }
+    }
+
+    /// Keys with a prefix, in order.
+    pub fn list(&self, path: &str) -> StandInResponse {
+        let prefix = query(path, "prefix").expect("a prefix");
+        let since = query(path, "since").unwrap_or_default();
+        let most = query(path, "most").and_then(|most| most.parse().ok());
+        let most = most.unwrap_or(MAX_ITEMS).min(MAX_ITEMS);
+        let items = self.items.iter();
+        let matching = items.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > since);
+        let mut pairs: Vec<Value> = matching
+            .take(most + 1)
+            .map(|(key, item)| json!({"key": key, "data": item.data, "stamp": item.revision}))
+            .collect();
+        let has_next = pairs.len() > most;
+        pairs.truncate(most);
+        (
+            200,
+            json!({"pairs": pairs, "hasNext": has_next, "epoch": self.store_revision}),
+        )
+    }
+
+    /// What changed after that revision.
+    pub fn changes_since(&self, since: u64, prefix: &str) -> Vec<Value> {
+        let first = self.changes.partition_point(|(at, _)| *at <= since);
+        let changes = self.changes[first..].iter();
+        let matching = changes.filter(|(_, key)| key.starts_with(prefix));
+        matching
+            .map(|(at, key)| match self.items.get(key) {
+                Some(item) => json!({"put": key, "data": item.data, "stamp": item.revision}),
+                None => json!({"delete": key, "stamp": at}),
+            })
+            .collect()
+    }
+}
+
+fn text(value: &Value) -> &str {
+    value.as_str().expect("a text")
+}
+
+/// A parameter of a path's query.
+pub fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = path.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
