--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,6 +1,9 @@
 //! Machines and the tasks on them, as the published protocol says that workers behave. One lock guards them all,
 //! and the checker that watches.
 
+mod commands;
+mod gangs;
+
 use super::checker::{Attempt, Checker, MachineFacts};
 use super::task::{Phase, Task};
 use chalklug::protocol::users::{JobSpec, Shape};
@@ -237,101 +240,6 @@
         }
     }
 
-    fn gang_members(&self) -> BTreeMap<GangAttempt, Vec<Member>> {
-        let mut gangs: BTreeMap<GangAttempt, Vec<_>> = BTreeMap::new();
-        for (id, machine) in &self.machines {
-            for (key, task) in &machine.tasks {
-                let ((job, _), attempt_id) = key;
-                let is_gang = self.jobs[job].spec.shape == Shape::Gang;
-                if is_gang && task.is_on_machine() {
-                    let gang = (job.clone(), *attempt_id);
-                    let member = (id.clone(), key.clone());
-                    gangs.entry(gang).or_default().push(member);
-                }
-            }
-        }
-        gangs
-    }
-
-    fn advance_gangs(&mut self, now: Instant) {
-        for (gang, members) in self.gang_members() {
-            self.advance_gang(now, &gang, &members);
-        }
-    }
-
-    fn advance_gang(&mut self, now: Instant, gang: &GangAttempt, members: &[Member]) {
-        let size = self.jobs[&gang.0].spec.tasks as usize;
-        let run = self.jobs[&gang.0].run;
-        let mut counts = GangCounts::default();
-        for (id, key) in members {
-            let machine = &self.machines[id];
-            counts.add(now, &machine.tasks[key], machine.is_hanging(now));
-        }
-        if counts.waiting == size {
-            let running = Phase::Running {
-                ends_at: Some(now + run),
-            };
-            self.set_phases(members, running);
-        } else if counts.running == size {
-            self.incomplete_since.remove(gang);
-            if counts.finished == size {
-                self.end_members(now, members, "done");
-            }
-        } else if counts.running > 0 {
-            let since = *self.incomplete_since.entry(gang.clone()).or_insert(now);
-            if now - since > self.times.gang_peer {
-                self.end_members(now, members, "mates_gone");
-            }
-        } else {
-            self.give_up_waiting(now, members);
-        }
-    }
-
-    fn set_phases(&mut self, members: &[Member], phase: Phase) {
-        for (id, key) in members {
-            if let Some(machine) = self.machines.get_mut(id) {
-                machine.has_news = true;
-                machine
-                    .tasks
-                    .entry(key.clone())
-                    .and_modify(|task| task.phase = phase);
-            }
-        }
-    }
-
-    /// Ends the members whose machines don't hang.
-    fn end_members(&mut self, now: Instant, members: &[Member], cause: &'static str) {
-        if cause == "done" {
-            for (_, key) in members {
-                self.completed.insert(key.0.clone());
-            }
-        }
-        for (id, key) in members {
-            let Some(machine) = self.machines.get_mut(id).filter(|m| !m.is_hanging(now)) else {
-                continue;
-            };
-            machine.has_news = true;
-            if let Some(task) = machine.tasks.get_mut(key) {
-                task.end(cause, false);
-            }
-            let attempt = attempt_on(id, key);
-            match cause {
-                "done" => self.checker.task_completed(&attempt),
-                _ => self.checker.task_left(&attempt),
-            }
-        }
-    }
-
-    fn give_up_waiting(&mut self, now: Instant, members: &[Member]) {
-        let gang_wait = self.times.gang_wait;
-        let gives_up = |(id, key): &&Member| {
-            let task = &self.machines[id].tasks[key];
-            matches!(task.phase, Phase::Waiting { since } if now - since > gang_wait)
-        };
-        let given_up: Vec<_> = members.iter().filter(gives_up).cloned().collect();
-        self.end_members(now, &given_up, "incomplete");
-    }
-
     /// Tasks of a job that are on a machine or waiting for their image there.
     pub fn live_tasks(&self, job: &str) -> Vec<(&Machine, u32)> {
         let machines = self.machines.values();
@@ -415,106 +323,4 @@
         }
         is_current
     }
-
-    fn execute(&mut self, now: Instant, id: &str, body: &Value) {
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        let token = body["baton"].as_u64().unwrap_or(0);
-        machine.has_news |= token > machine.token;
-        machine.token = token;
-        for order in body["orders"].as_array().into_iter().flatten() {
-            let Some((job, index)) = order["piece"].as_str().and_then(|t| t.split_once('/')) else {
-                continue;
-            };
-            let task_key = (job.to_owned(), index.parse().unwrap_or(u32::MAX));
-            let key = (task_key, order["try"].as_u64().unwrap_or(0));
-            match order["verb"].as_str() {
-                Some("launch") => self.launch(now, id, key),
-                Some("stop") => self.stop(now, id, &key, order["windDownS"].as_f64()),
-                _ => self.clear(id, &key),
-            }
-        }
-    }
-
-    fn launch(&mut self, now: Instant, id: &str, key: (TaskKey, u64)) {
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        if machine.tasks.contains_key(&key) {
-            return;
-        }
-        machine.has_news = true;
-        let is_busy = machine
-            .tasks
-            .iter()
-            .any(|((task, _), other)| *task == key.0 && !other.has_ended());
-        let task = match self.jobs.get(&key.0 .0) {
-            None => return,
-            Some(_) if is_busy => Task::ended("busy"),
-            Some(job) if machine.room_for(&job.spec, &self.jobs) == 0 => Task::ended("full"),
-            Some(job) if machine.images.contains(job.spec.image.as_str()) => Task::fetching(now),
-            Some(job) => Task::fetching(now + job.fetch),
-        };
-        machine.tasks.insert(key, task);
-    }
-
-    fn stop(&mut self, now: Instant, id: &str, key: &(TaskKey, u64), wind_down_s: Option<f64>) {
-        let Some(machine) = self.machines.get_mut(id) else {
-            return;
-        };
-        let Some(task) = machine.tasks.get_mut(key).filter(|task| !task.has_ended()) else {
-            return;
-        };
-        let Some(job) = self.jobs.get(&key.0 .0) else {
-            return;
-        };
-        machine.has_news = true;
-        let saves = job.spec.checkpoint_s > 0.0 && wind_down_s >= Some(job.spec.save_s);
-        match task.phase {
-            Phase::Running { ends_at: Some(at) } if saves && job.spec.shape == Shape::Array => {
-                let left = at.saturating_duration_since(now);
-                self.remaining.insert(key.0.clone(), left);
-                let until = now + Duration::from_secs_f64(job.spec.save_s);
-                task.phase = Phase::Saving { until };
-            }
-            Phase::Saving { .. } if wind_down_s != Some(0.0) => {}
-            _ => {
-                task.end("halted", false);
-                self.checker.task_left(&attempt_on(id, key));
-            }
-        }
-    }
-
-    fn clear(&mut self, id: &str, key: &(TaskKey, u64)) {
-        if let Some(machine) = self.machines.get_mut(id) {
-            if machine.tasks.get(key).is_some_and(Task::has_ended) {
-                machine.tasks.remove(key);
-            }
-        }
-    }
-}
-
-/// The members of a gang attempt that are on machines.
-#[derive(Default)]
-struct GangCounts {
-    waiting: usize,
-    running: usize,
-    finished: usize,
-}
-
-impl GangCounts {
-    fn add(&mut self, now: Instant, task: &Task, is_hanging: bool) {
-        if is_hanging {
-            return;
-        }
-        match task.phase {
-            Phase::Waiting { .. } => self.waiting += 1,
-            Phase::Running { ends_at } => {
-                self.running += 1;
-                self.finished += usize::from(ends_at.is_some_and(|at| at <= now));
-            }
-            _ => {}
-        }
-    }
 }
