Revoke late launches of cancelled jobs within cancel_s

Cause: a pushed launch is a right to start a task until the worker's session ends or it sees a higher token. The leader knew the cancellation and that the launch was unconfirmed, yet went on renewing the worker's lease and raised its token only every 60 s. Evidence, from the kept logs: "launch sent" once, before "job cancelled"; "push unanswered"; then stops with every response, views of at most 5.4 s, fencing_token=1 throughout. So neither a launch sent after the cancellation nor a stale view.

Change: when a job closes other than by its completion, its launches get the time by which they must be revoked: the request of the last view in which the job was open, plus max_staleness, the bound of a leader that knows nothing of the cancellation, derived from cancel_s and lease_s. An unanswered push makes the leader raise its token soon; from then on each response that renews the lease makes the worker refuse the launch. If the token isn't raised by that time, the lease isn't renewed until it is. The second step alone keeps the rule; it needs neither the state store nor any message.

--- a/src/coordination/attempts/ledger/task_attempt.rs
+++ b/src/coordination/attempts/ledger/task_attempt.rs
@@ -114,6 +114,9 @@
     pub launch_session: Option<Session>,
     /// The highest fencing token of a push that launched the attempt.
     pub launch_token: Option<FencingToken>,
+    /// For an attempt of a closed job: from this time on, no response may renew the worker's lease if the worker may
+    /// execute a pushed launch of the attempt afterwards.
+    pub revoke_launch_by: Option<Instant>,
     /// Whether the attempt is known from a former leader's intent, or from a status alone.
     pub recovered: bool,
     /// What the worker last reported of the attempt.
@@ -148,6 +151,7 @@
             last_push: PushDelivery::None,
             launch_session: None,
             launch_token: None,
+            revoke_launch_by: None,
             recovered: false,
             last_status: None,
             stop: None,
--- a/src/coordination/attempts/mod.rs
+++ b/src/coordination/attempts/mod.rs
@@ -5,6 +5,7 @@
 //! - `leases`: periodic checks of lease expiry and of machines that no command reaches.
 //! - `stops`, `gang_stops`: decide which attempts to stop.
 //! - `commands`, `pushes`: the commands for workers, in heartbeat responses and as pushes.
+//! - `revocation`: keeps late launches of closed jobs from starting a task.
 //! - `task_ends`: handles the end of an attempt.
 
 mod commands;
@@ -13,6 +14,7 @@
 pub mod ledger;
 mod pushes;
 pub mod reconciliation;
+mod revocation;
 mod stops;
 mod task_ends;
 
--- a/src/coordination/attempts/pushes.rs
+++ b/src/coordination/attempts/pushes.rs
@@ -145,6 +145,7 @@
         };
         tracing::debug!(machine = %machine_id, sent, "push unanswered");
         self.settle_push(machine_id, request_id, delivery);
+        self.revoke_unconfirmed_launches(machine_id);
         self.resend_stops(now, machine_id);
         self.work_queues.pushes_due.insert(machine_id.clone());
     }
--- a/src/coordination/attempts/reconciliation/mod.rs
+++ b/src/coordination/attempts/reconciliation/mod.rs
@@ -26,8 +26,8 @@
 pub enum HeartbeatOutcome {
     /// Respond with 200 and these commands.
     Commands(Vec<Command>),
-    /// Do not respond with 200: the heartbeat is a duplicate, the machine is terminated or its lease is
-    /// withheld, or a newer leader exists.
+    /// Do not respond with 200: the heartbeat is a duplicate, the machine is terminated, its lease is
+    /// withheld or must end with an unconfirmed launch, or a newer leader exists.
     Refused,
 }
 
@@ -54,6 +54,11 @@
             // The lease has to expire: its expiry is the proof that removes the machine's attempts.
             return HeartbeatOutcome::Refused;
         }
+        if machine.awaits_launch_revocation(now, token) {
+            // Guards against a late launch that starts a task of a job cancelled more than `cancel_s` ago.
+            tracing::info!(machine = %machine_id, fencing_token = %token, "lease not renewed: a launch of a closed job is unconfirmed");
+            return HeartbeatOutcome::Refused;
+        }
         machine.last_response_at = now;
         machine.reachability.record_response(token);
         let mut commands = self.heartbeat_commands(now, machine_id, is_newer);
--- /dev/null
+++ b/src/coordination/attempts/revocation.rs
@@ -0,0 +1,71 @@
+//! Revocation of launches that a worker may still execute although their job is closed.
+//!
+//! A pushed launch without a response may arrive at any later time. The worker executes it as long as its session lasts
+//! and it has seen no higher fencing token than that of the push. Two steps keep such a launch from starting a task
+//! later than `cancel_s` after the job's cancellation:
+//!
+//! 1. The leader raises its fencing token soon. From then on each response that renews the worker's lease makes the
+//!    worker refuse the launch.
+//! 2. If the token is not raised in time, the lease is no longer renewed: the session ends with it. The bound is that of
+//!    a leader that has not learnt of the cancellation, see docs/SAFETY.md, "The bound on cancelled work".
+
+use crate::coordination::attempts::ledger::{PushDelivery, TaskAttempt};
+use crate::coordination::machines::machine::Machine;
+use crate::coordination::Scheduler;
+use crate::ids::{FencingToken, JobId, MachineId};
+use crate::time::Instant;
+
+impl TaskAttempt {
+    /// Whether a response with this fencing token must not renew the worker's lease any more: the worker might execute
+    /// the launch of a closed job too late. A listed attempt has been launched, so another launch has no effect on it.
+    fn forbids_lease_renewal(&self, now: Instant, token: FencingToken) -> bool {
+        self.revoke_launch_by.is_some_and(|by| now >= by)
+            && self.last_status.is_none()
+            && self.last_push != PushDelivery::None
+            && self.launch_token.is_some_and(|launched| launched >= token)
+    }
+}
+
+impl Machine {
+    /// Whether the worker's lease must not be renewed before the fencing token is raised above `token`.
+    pub(super) fn awaits_launch_revocation(&self, now: Instant, token: FencingToken) -> bool {
+        let mut attempts = self.attempts.iter();
+        attempts.any(|attempt| attempt.forbids_lease_renewal(now, token))
+    }
+}
+
+impl Scheduler {
+    /// Sets the time by which pushed launches of a job that is no longer open must be revoked on a machine.
+    ///
+    /// The job was still open when the leader's last complete view of the open jobs was requested, so no user was told
+    /// of a cancellation before that.
+    pub(crate) fn limit_launches_of_closed_job(&mut self, machine_id: &MachineId, job: &JobId) {
+        let revoke_by = self.leadership.view_requested_at() + self.policy.max_staleness();
+        let Some(machine) = self.machines.get_mut(machine_id) else {
+            return;
+        };
+        for attempt in machine.attempts.iter_mut() {
+            if attempt.task.job == *job && attempt.revoke_launch_by.is_none() {
+                attempt.revoke_launch_by = Some(revoke_by);
+            }
+        }
+        self.revoke_unconfirmed_launches(machine_id);
+    }
+
+    /// Requests a raise of the fencing token if a push without a response may still launch a task of a closed job on
+    /// the machine.
+    pub(super) fn revoke_unconfirmed_launches(&mut self, machine_id: &MachineId) {
+        let Some(machine) = self.machines.get(machine_id) else {
+            return;
+        };
+        for attempt in machine.live_attempts() {
+            let PushDelivery::Unconfirmed(_, token) = attempt.last_push else {
+                continue;
+            };
+            if attempt.revoke_launch_by.is_some() && attempt.last_status.is_none() {
+                tracing::info!(machine = %machine_id, task = %attempt.task, attempt = %attempt.attempt_id, fencing_token = %token, "unconfirmed launch of a closed job, fencing token to be raised");
+                self.leadership.revoke_token(token);
+            }
+        }
+    }
+}
--- a/src/coordination/event.rs
+++ b/src/coordination/event.rs
@@ -65,6 +65,11 @@
     },
     /// The full list of open jobs, read again after a gap in the watch.
     OpenJobsListed(Vec<OpenJob>),
+    /// All changes of the open jobs that a request showed, or the list that it returned, have been passed on.
+    ViewRefreshed {
+        /// When the changes or the list were requested.
+        requested_at: Instant,
+    },
     /// Answers [`super::Effect::ReadTerminalRecords`].
     TerminalRecordsRead(Vec<TerminalRecordRead>),
 
--- a/src/coordination/jobs/lifecycle.rs
+++ b/src/coordination/jobs/lifecycle.rs
@@ -116,11 +116,11 @@
         }
         self.jobs.mark_closed_in_graph(now, id, reason);
         self.apply_graph_changes(now);
-        self.close_job(now, id);
+        self.close_job(now, id, reason);
     }
 
     /// Closes a job: none of its tasks may start any more, and running tasks are stopped.
-    fn close_job(&mut self, now: Instant, id: &JobId) {
+    fn close_job(&mut self, now: Instant, id: &JobId, reason: CloseReason) {
         let Some(job) = self.jobs.get(id).filter(|job| !job.is_closed()) else {
             return;
         };
@@ -134,6 +134,9 @@
         self.placement.request_pass();
         for machine_id in machine_ids {
             self.ledger().remove_never_launched(now, &machine_id, id);
+            if reason != CloseReason::Finished {
+                self.limit_launches_of_closed_job(&machine_id, id);
+            }
             self.work_queues.machines_to_review.insert(machine_id);
         }
     }
--- a/src/coordination/leadership/recovery/mod.rs
+++ b/src/coordination/leadership/recovery/mod.rs
@@ -20,6 +20,8 @@
 /// What a new leader has read from the state store after writing its leader key.
 #[derive(Debug, Default)]
 pub struct RecoveredState {
+    /// When the open jobs were requested.
+    pub requested_at: Instant,
     /// All open jobs.
     pub open_jobs: Vec<OpenJob>,
     /// Progress records, including those of closed jobs.
@@ -85,7 +87,13 @@
         now: Instant,
         recovered: RecoveredState,
     ) -> Result<Scheduler, UnreadableRecord> {
-        let mut scheduler = Scheduler::new(policy, term, now, recovered.unix_time_at_zero_ms);
+        let mut scheduler = Scheduler::new(
+            policy,
+            term,
+            now,
+            recovered.requested_at,
+            recovered.unix_time_at_zero_ms,
+        );
         scheduler.machines.set_types(recovered.machine_types);
         let mut recovery = Recovery { scheduler, now };
         recovery.load_open_jobs(recovered.open_jobs);
--- a/src/coordination/leadership/term.rs
+++ b/src/coordination/leadership/term.rs
@@ -48,18 +48,29 @@
     /// Unix time in milliseconds at the monotonic clock's zero.
     unix_time_at_zero_ms: u64,
     attempt_ids_issued: u64,
+    /// When the last complete view of the open jobs was requested.
+    view_requested_at: Instant,
+    /// The highest token with which a worker may still execute a launch that has to be revoked.
+    revoked_token: Option<FencingToken>,
 }
 
 impl Leadership {
     /// Creates the leadership of a term that starts at `started_at`. `unix_time_at_zero_ms` is the Unix time in
     /// milliseconds at the monotonic clock's zero; it may be inaccurate and only serves to estimate ages of
-    /// records.
-    pub fn new(term: LeadershipTerm, started_at: Instant, unix_time_at_zero_ms: u64) -> Leadership {
+    /// records. `view_requested_at` is when the open jobs that the leader starts with were requested.
+    pub fn new(
+        term: LeadershipTerm,
+        started_at: Instant,
+        view_requested_at: Instant,
+        unix_time_at_zero_ms: u64,
+    ) -> Leadership {
         Leadership {
             term,
             started_at,
             unix_time_at_zero_ms,
             attempt_ids_issued: 0,
+            view_requested_at,
+            revoked_token: None,
         }
     }
 
@@ -84,6 +95,28 @@
         now - self.started_at
     }
 
+    /// Returns when the last complete view of the open jobs was requested: each job that is open in it was not
+    /// cancelled before.
+    pub(crate) fn view_requested_at(&self) -> Instant {
+        self.view_requested_at
+    }
+
+    /// Records that all changes of the open jobs up to a request at `requested_at` were handled.
+    pub(crate) fn view_refreshed(&mut self, requested_at: Instant) {
+        self.view_requested_at = self.view_requested_at.max(requested_at);
+    }
+
+    /// Requests a raise of the fencing token above `token`.
+    pub(crate) fn revoke_token(&mut self, token: FencingToken) {
+        self.revoked_token = self.revoked_token.max(Some(token));
+    }
+
+    /// Whether the current fencing token has to be raised to revoke launches.
+    pub(crate) fn must_revoke_token(&self) -> bool {
+        self.revoked_token
+            .is_some_and(|revoked| revoked >= self.term.token)
+    }
+
     /// Returns the term's lease, tokens and key revisions.
     pub(crate) fn term(&self) -> &LeadershipTerm {
         &self.term
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -81,11 +81,12 @@
         policy: Arc<Policy>,
         term: LeadershipTerm,
         now: Instant,
+        view_requested_at: Instant,
         unix_time_at_zero_ms: u64,
     ) -> Scheduler {
         let teams = policy.facts.teams.len();
         Scheduler {
-            leadership: Leadership::new(term, now, unix_time_at_zero_ms),
+            leadership: Leadership::new(term, now, view_requested_at, unix_time_at_zero_ms),
             jobs: JobTable::new(teams),
             machines: MachineTable::default(),
             team_usage: TeamUsage::new(teams),
@@ -131,6 +132,7 @@
             Event::JobOpened(open_job) => self.job_opened(now, *open_job),
             Event::JobClosed { id } => self.job_closed(now, &id, CloseReason::Unknown),
             Event::JobCancelled { id } => self.job_closed(now, &id, CloseReason::Cancelled),
+            Event::ViewRefreshed { requested_at } => self.leadership.view_refreshed(requested_at),
             Event::TerminalRecordsRead(records) => self.terminal_records_read(now, records),
             Event::OpenJobsListed(open_jobs) => self.open_jobs_listed(now, open_jobs),
             Event::PushAnswered {
--- a/src/coordination/persistence/draft/token.rs
+++ b/src/coordination/persistence/draft/token.rs
@@ -14,6 +14,8 @@
 const URGENT_TOKEN_RAISE_INTERVAL: TimeSpan = TimeSpan(5_000);
 /// Number of tombstones on one machine from which the token is raised at the shorter interval.
 const URGENT_TOMBSTONE_COUNT: usize = 150;
+/// Number of raises to revoke launches for which there is time before leases have to end instead.
+const RAISES_BEFORE_LEASE_ENDS: i64 = 8;
 
 impl DraftContext<'_> {
     /// Drafts a raise of the leader's own token if one is due. Tombstones of pushed launches can be cleared only after
@@ -46,6 +48,9 @@
 
     fn is_token_raise_due(&self) -> bool {
         let since_last_raise = self.cluster.now - self.writer.token_raised_at();
+        if self.leadership.must_revoke_token() && since_last_raise >= self.revocation_interval() {
+            return true;
+        }
         if since_last_raise < URGENT_TOKEN_RAISE_INTERVAL {
             return false;
         }
@@ -58,6 +63,12 @@
             && machines.any(|machine| self.needs_higher_token(machine))
     }
 
+    /// Returns the interval between raises of the token while it has to be raised to revoke launches of closed jobs.
+    fn revocation_interval(&self) -> TimeSpan {
+        let time_to_revoke = self.cluster.policy.max_staleness();
+        URGENT_TOKEN_RAISE_INTERVAL.min(TimeSpan(time_to_revoke.0 / RAISES_BEFORE_LEASE_ENDS))
+    }
+
     /// Whether a machine has an unconfirmed launch, or a tombstone that was launched with the current token.
     fn needs_higher_token(&self, machine: &Machine) -> bool {
         let is_blocked = |attempt: &TaskAttempt| {
--- a/src/coordination/policy.rs
+++ b/src/coordination/policy.rs
@@ -1,6 +1,6 @@
 //! The settings of the scheduler, and the timeouts derived from them.
 
-use crate::config::{Config, DeploymentFacts, OperatorConfig, Slo, SloKind, Team};
+use crate::config::{Config, DeploymentFacts, LeaderTimes, OperatorConfig, Slo, SloKind, Team};
 use crate::ids::TeamIndex;
 use crate::time::TimeSpan;
 use crate::transport::sockets::SocketAllocation;
@@ -87,6 +87,13 @@
         TimeSpan::from_secs(lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_REACTION_SECS)
     }
 
+    /// Returns the age of the leader's view of the open jobs at which it stops acting; zero for settings that no leader
+    /// can keep, which are rejected at startup.
+    pub fn max_staleness(&self) -> TimeSpan {
+        LeaderTimes::derive(&self.facts.workers, &self.operator)
+            .map_or(TimeSpan::ZERO, |times| times.max_staleness)
+    }
+
     /// Returns the time after a failover within which every worker that can reach the new leader has sent it a
     /// heartbeat.
     pub fn first_heartbeats_bound(&self) -> TimeSpan {
--- a/src/runtime/leader/job_watch.rs
+++ b/src/runtime/leader/job_watch.rs
@@ -28,6 +28,7 @@
 /// leader key as a precondition.
 pub async fn read_recovered_state(node: &Node) -> Option<(RecoveredState, StoreRevision)> {
     let store = &node.state_store;
+    let requested_at = node.now();
     let (
         (open_jobs, store_revision),
         (progress_records, _),
@@ -43,6 +44,7 @@
     )
     .ok()?;
     let recovered = RecoveredState {
+        requested_at,
         open_jobs: read_open_jobs(node, open_jobs).await.ok()?,
         progress_records,
         intent_pages,
@@ -97,7 +99,7 @@
             Ok(response) => {
                 log_changes(node, since, &response, requested_at);
                 since = response.store_revision;
-                term.authority.view_refreshed(requested_at);
+                view_refreshed(&term, requested_at);
                 tokio::time::sleep(WATCH_PAUSE).await;
             }
             Err(error) => {
@@ -110,6 +112,14 @@
     }
 }
 
+/// Records that the scheduler has received all changes up to a request at `requested_at`.
+fn view_refreshed(term: &TermContext, requested_at: Instant) {
+    let node = &term.node;
+    let refreshed = Event::ViewRefreshed { requested_at };
+    node.leadership.handle_event(node.now(), refreshed);
+    term.authority.view_refreshed(requested_at);
+}
+
 fn log_changes(node: &Node, since: StoreRevision, response: &WatchResponse, requested_at: Instant) {
     tracing::debug!(
         %since,
@@ -192,6 +202,6 @@
     );
     let listed = Event::OpenJobsListed(jobs);
     node.leadership.handle_event(node.now(), listed);
-    term.authority.view_refreshed(requested_at);
+    view_refreshed(term, requested_at);
     Some(store_revision)
 }
--- a/tests/random/faults.rs
+++ b/tests/random/faults.rs
@@ -5,7 +5,7 @@
 use super::simulation::random_faults::start_random_fault;
 use super::simulation::{PartitionMode, Simulation};
 use chalklug::ids::{JobId, MachineId};
-use chalklug::protocol::users::JobPhase;
+use chalklug::protocol::users::{JobPhase, Shape};
 use chalklug::time::{Instant, TimeSpan};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -15,6 +15,9 @@
 const SINGLE_RUNS: u64 = 12;
 /// The number of batches of jobs in a run with pairs of faults.
 const BATCHES: u32 = 10;
+/// The number of runs with late launches, unless `SEEDS` is set, and the number of jobs in each.
+const LATE_LAUNCH_RUNS: u64 = 12;
+const LATE_LAUNCH_JOBS: u32 = 30;
 /// The number of jobs in a run with single faults.
 const JOBS: u32 = 24;
 /// The time after the last fault within which all jobs must end.
@@ -151,6 +154,42 @@
         }
     }
 
+    /// Sets the share of pushes that arrive up to twice `cancel_s` late, submits a job, and perhaps cancels it before its
+    /// push times out. Now and then starts another fault.
+    fn job_with_late_launches(&mut self) {
+        let longest_ms = TimeSpan::from_secs(2.0 * self.simulation.policy.facts.workers.cancel_s).0;
+        let delay = TimeSpan(self.rng.random_range(1_000..longest_ms));
+        self.simulation.faults.late_push_share = 0.7;
+        self.simulation.faults.late_push_delay = delay;
+        let number = self.submitted;
+        let tasks = self.rng.random_range(1..5);
+        let run_secs = self.rng.random_range(10..60);
+        self.submit(
+            tasks,
+            run_secs,
+            &[&[], &["checkpoint", "4"], &["shape", "service"]],
+        );
+        self.wait(100..2_500);
+        if self.rng.random_bool(0.6) {
+            self.cancel(number);
+        }
+        if self.rng.random_bool(0.2) {
+            start_random_fault(&mut self.simulation, &mut self.rng);
+        }
+        self.wait(500..12_000);
+        self.simulation.faults.late_transaction_share = 0.0;
+    }
+
+    /// Cancels the services, which don't end by themselves.
+    fn cancel_services(&mut self) {
+        for number in 0..self.submitted {
+            let id = JobId::from(format!("wk-{number:06}").as_str());
+            if self.simulation.workload.spec(&id).shape == Shape::Service {
+                self.cancel(number);
+            }
+        }
+    }
+
     /// Returns a random machine, or None if there is none.
     fn random_machine(&mut self) -> Option<MachineId> {
         let mut ids: Vec<&MachineId> = self.simulation.workers.keys().collect();
@@ -244,3 +283,21 @@
         run.check();
     }
 }
+
+/// Guards against late launches of cancelled jobs: pushes arrive alone up to twice `cancel_s` late, under random faults.
+#[test]
+fn random_late_launches_break_no_rule() {
+    init_logging();
+    for seed in seeds(LATE_LAUNCH_RUNS) {
+        let mut run = Run::new(seed, true);
+        run.simulation.elect_leader();
+        for _ in 0..LATE_LAUNCH_JOBS {
+            run.job_with_late_launches();
+        }
+        run.simulation.faults.late_push_share = 0.0;
+        run.simulation.run_for(DRAIN_TIME_AFTER_SINGLES);
+        run.cancel_services();
+        run.simulation.run_for(DRAIN_TIME_AFTER_SINGLES);
+        run.check();
+    }
+}
--- a/tests/scenario_language/events.rs
+++ b/tests/scenario_language/events.rs
@@ -63,6 +63,10 @@
         "duplicate-heartbeats" => faults.duplicate_heartbeat_share = words.number("share", 1.0),
         "duplicate-pushes" => faults.duplicate_push_share = words.number("share", 1.0),
         "late-transactions" => faults.late_transaction_share = words.number("share", 0.3),
+        "late-pushes" => {
+            faults.late_push_share = words.number("share", 1.0);
+            faults.late_push_delay = TimeSpan::from_secs(words.number("by", 0.0));
+        }
         "lose-heartbeats" => faults.lost_heartbeat_share = words.number("share", 0.1),
         "never-boot" => faults.machines_never_booting = parse(words.0[0], event),
         _ => return false,
--- a/tests/simulation/effects.rs
+++ b/tests/simulation/effects.rs
@@ -136,7 +136,13 @@
             let delay = self.duplicate_delay();
             self.send(delay, Message::Push(push.clone()));
         }
-        self.send_over_machine_link(&machine_id, Message::Push(push));
+        // Without the fault no number is drawn, so that runs without it stay the same.
+        let late_share = self.faults.late_push_share;
+        if late_share > 0.0 && self.rng.random_bool(late_share) {
+            self.send(self.faults.late_push_delay, Message::Push(push));
+        } else {
+            self.send_over_machine_link(&machine_id, Message::Push(push));
+        }
     }
 
     fn scale_out(
--- a/tests/simulation/faults.rs
+++ b/tests/simulation/faults.rs
@@ -1,7 +1,7 @@
 //! Faults of the network, the state store and the cloud. A fault with a field `…_until` is active until
 //! that time.
 
-use chalklug::time::Instant;
+use chalklug::time::{Instant, TimeSpan};
 
 /// The faults outside the workers.
 #[derive(Default)]
@@ -30,6 +30,10 @@
     pub duplicate_heartbeat_share: f64,
     /// Share of pushes that are followed by a late duplicate.
     pub duplicate_push_share: f64,
+    /// Share of pushes that arrive late, and alone: other messages to and from the machine arrive in time.
+    pub late_push_share: f64,
+    /// How much later the late pushes arrive.
+    pub late_push_delay: TimeSpan,
     /// Number of machines, counted from the first one rented, that never finish booting.
     pub machines_never_booting: u32,
     /// The watch never delivers changes to the leader. Doesn't count as an active fault, since
@@ -53,7 +57,8 @@
         let shares = self.lost_heartbeat_share
             + self.late_transaction_share
             + self.duplicate_heartbeat_share
-            + self.duplicate_push_share;
+            + self.duplicate_push_share
+            + self.late_push_share;
         shares > 0.0 || ends.iter().any(|end| now < *end)
     }
 
--- a/tests/simulation/leadership.rs
+++ b/tests/simulation/leadership.rs
@@ -188,6 +188,7 @@
     fn read_recovered_state(&self) -> RecoveredState {
         let open = self.store.list(OPEN_JOB_PREFIX).into_iter();
         RecoveredState {
+            requested_at: self.now,
             open_jobs: open
                 .map(|item| OpenJob {
                     revision: item.revision,
@@ -276,6 +277,7 @@
             for event in events {
                 scheduler.handle(now, event);
             }
+            scheduler.handle(now, Event::ViewRefreshed { requested_at: now });
         }
         self.leadership.watched_revision = self.store.store_revision;
     }
--- a/tests/soak/worker.rs
+++ b/tests/soak/worker.rs
@@ -1,6 +1,6 @@
 //! The network side of a machine's fake worker: sends heartbeats to the leader and receives pushed commands.
 
-use super::cluster::Shared;
+use super::cluster::{Shared, CANCEL_TIMEOUT};
 use super::faults::Link;
 use super::http::{serve, HttpRequest, HttpResponse};
 use super::links::{no_response, Delivery};
@@ -15,8 +15,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(30);
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
 const NEXT_CONTROLLER_DELAY: Duration = Duration::from_millis(400);
-/// Delay of duplicated heartbeats and late pushes, in milliseconds.
-const LATE_DELIVERY_MS: std::ops::Range<u64> = 500..7_000;
+/// Delay of duplicated heartbeats and late pushes, in milliseconds: up to twice as long as the tasks of a cancelled job may
+/// run.
+const LATE_DELIVERY_MS: std::ops::Range<u64> = 500..2 * CANCEL_TIMEOUT.as_millis() as u64;
 
 /// Starts the worker of a machine that has booted.
 pub async fn start(shared: Arc<Shared>, id: String, kind: MachineKind) {
--- a/tests/stale_knowledge.rs
+++ b/tests/stale_knowledge.rs
@@ -257,3 +257,109 @@
     let is_downstream_record = |c: &Change| c.key() == terminal_key(&job_id(2));
     assert!(!written.iter().any(is_downstream_record), "{written:?}");
 }
+
+/// Creates a new leader of jobs 1 and 2 that has pushed the launch of job 2; the worker lists the task of job 1. Returns
+/// the id of the push and when it was sent.
+fn leader_with_pushed_launch() -> (RecordedScheduler, RequestId, Instant) {
+    let mut scheduler = recover(&[open_job_record(1, &[]), open_job_record(2, &[])]);
+    scheduler.heartbeat(START, &status(1, CURRENT_TOKEN, Some(TaskPhase::Running)));
+    for ms in (0..3_000).step_by(100) {
+        let now = START + TimeSpan(ms);
+        for effect in scheduler.step(now) {
+            match effect {
+                Effect::Write { request_id, .. } => {
+                    scheduler.write_applied(now, request_id, StoreRevision(100 + request_id.0));
+                }
+                Effect::Push { request_id, .. } => return (scheduler, request_id, now),
+                _ => {}
+            }
+        }
+    }
+    panic!("no launch was pushed");
+}
+
+/// Steps the scheduler while the state store refuses all transactions. Returns when a transaction was to raise the fencing
+/// token.
+fn token_raises(scheduler: &mut RecordedScheduler, from: Instant, span: TimeSpan) -> Vec<Instant> {
+    let mut raises = Vec::new();
+    for ms in (0..span.0).step_by(100) {
+        let now = from + TimeSpan(ms);
+        for effect in scheduler.step(now) {
+            if let Effect::Write {
+                request_id,
+                transaction,
+            } = effect
+            {
+                let mut changes = transaction.changes.iter();
+                if changes.any(|change| change.key() == FENCING_TOKEN_KEY) {
+                    raises.push(now);
+                }
+                scheduler.handle(now, Event::WriteNotApplied { request_id });
+            }
+        }
+    }
+    raises
+}
+
+/// Returns how long after the cancellation of a job a worker's lease may be renewed while it may execute a launch of the
+/// job.
+fn last_renewal_after_cancellation() -> TimeSpan {
+    let workers = policy(64.0, 10).facts.workers;
+    TimeSpan::from_secs(workers.cancel_s - workers.lease_s)
+}
+
+/// Guards against a pushed launch that arrives late and starts a task of a job cancelled more than `cancel_s` before.
+#[test]
+fn lease_ends_unless_the_token_revokes_a_cancelled_jobs_late_launch() {
+    let (mut scheduler, push, pushed_at) = leader_with_pushed_launch();
+    let view = Event::ViewRefreshed {
+        requested_at: pushed_at,
+    };
+    scheduler.handle(pushed_at, view);
+    scheduler.handle(pushed_at, Event::JobCancelled { id: job_id(2) });
+    let failed = Event::PushFailed {
+        machine_id: machine_id(),
+        request_id: push,
+        sent: true,
+    };
+    scheduler.handle(pushed_at, failed);
+    let running = |number| status(number, CURRENT_TOKEN, Some(TaskPhase::Running));
+    let early = pushed_at + TimeSpan(1_000);
+    let outcome = scheduler.heartbeat(early, &running(2));
+    assert!(matches!(outcome, HeartbeatOutcome::Commands(_)));
+    let until_too_late = last_renewal_after_cancellation() - TimeSpan(1_000);
+    let raises = token_raises(&mut scheduler, early, until_too_late);
+    assert!(!raises.is_empty());
+    let too_late = early + until_too_late;
+    let refused = scheduler.heartbeat(too_late, &running(3));
+    assert_eq!(refused, HeartbeatOutcome::Refused);
+    settle(&mut scheduler, too_late, 1_000);
+    let outcome = scheduler.heartbeat(too_late + TimeSpan(1_000), &running(4));
+    let HeartbeatOutcome::Commands(commands) = outcome else {
+        panic!("the heartbeat was refused: {outcome:?}");
+    };
+    let is_stop =
+        |c: &Command| matches!(c, Command::Stop { task: stopped, .. } if *stopped == task(2));
+    assert!(commands.iter().any(is_stop));
+    assert_eq!(scheduler.token(), FencingToken(CURRENT_TOKEN + 1));
+    scheduler.audit().unwrap();
+}
+
+/// Guards against raising the token, or ending a lease, for a launch that the worker has certainly not executed.
+#[test]
+fn answered_push_of_a_cancelled_job_is_not_revoked() {
+    let (mut scheduler, push, pushed_at) = leader_with_pushed_launch();
+    scheduler.handle(pushed_at, Event::JobCancelled { id: job_id(2) });
+    let answered = Event::PushAnswered {
+        machine_id: machine_id(),
+        request_id: push,
+        status: Box::new(status(2, CURRENT_TOKEN, Some(TaskPhase::Running))),
+    };
+    scheduler.handle(pushed_at, answered);
+    let until_too_late = last_renewal_after_cancellation();
+    let raises = token_raises(&mut scheduler, pushed_at, until_too_late);
+    assert_eq!(raises, []);
+    let running = status(3, CURRENT_TOKEN, Some(TaskPhase::Running));
+    let outcome = scheduler.heartbeat(pushed_at + until_too_late, &running);
+    assert!(matches!(outcome, HeartbeatOutcome::Commands(_)));
+}
