Complete failovers however many dependency lists there are

Seen by callers: an accepted job must run.

Cause: a retry without backoff that uses up what it waits for. A failover and every controller's open-job cache read the dependency pages of each job by a request of its own; the first 429 failed the whole read; the next one started anew, at once, with another election. Evidence, from the kept logs: 42 to 51 "failover abandoned" a controller, each 4 to 273 ms after its election, so not the leader's authority; before each a refused request, mostly for e/JOB/; no unreadable page. "failover abandoned" now says its reason and duration.

Change: pages of many jobs are listed by one request. The lists of open jobs never change, so they are cached for failover, watch and polls; a failed read keeps what it has read. Listings go on from their last key after a refused request, with growing pauses, and are paced to a share of state.rps divided by the number of controllers. A controller campaigns once it has listed the open jobs, so that a failover has next to no lists to read within its authority. After an abandoned failover it pauses. Closed jobs of a watch response are passed on before the lists of opened ones are read.

Changed with it: reads of many terminal records for polls are paced and not repeated by each poll; the leader's are spaced by state.rps in place of a fixed 15 ms.

Test: failover_reads_more_dependency_lists_than_requests_a_second (loopback). Run against the sources before the fix: timed out waiting for a controller to lead (90 s). Now: ok in 21 s, with the submissions.

--- a/src/runtime/clients/dependency_pages.rs
+++ b/src/runtime/clients/dependency_pages.rs
@@ -9,9 +9,11 @@
 use crate::ids::{JobId, KeyRevision};
 use crate::protocol::state::{Change, KeyValue, Precondition, Transaction};
 use crate::storage::records::{
-    dependency_list_key, dependency_page_key, open_job_key, terminal_key, OpenJobRecord,
+    dependency_list_key, dependency_page_key, open_job_key, parse_dependency_page_key, terminal_key,
 };
+use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeMap;
 
 /// The outcome of writing the dependency pages.
 #[must_use = "the open record may be written only with these preconditions"]
@@ -71,42 +73,64 @@
     Change::put(dependency_page_key(id, number), ids.collect())
 }
 
-/// Adds the dependencies from the job's pages to the record. Returns false if pages are missing because the job is no
-/// longer open.
+/// One dependency page as listed by the state store.
+pub struct DependencyPage {
+    /// The job whose dependencies the page lists.
+    pub job: JobId,
+    /// The number of the page.
+    pub number: u32,
+    /// The dependencies on this page.
+    pub dependencies: Vec<JobId>,
+}
+
+impl DependencyPage {
+    /// Parses a listed item; None for the key of a dependency list, which comes before the list's pages.
+    pub fn parse(item: &KeyValue) -> Result<Option<DependencyPage>, StateStoreError> {
+        let Some((job, number)) = parse_dependency_page_key(&item.key) else {
+            return Ok(None);
+        };
+        let dependencies = Vec::<JobId>::deserialize(&item.data).map_err(|error| {
+            tracing::error!(key = %item.key, %error, "unreadable dependency page");
+            StateStoreError::OutcomeUnknown
+        })?;
+        Ok(Some(DependencyPage {
+            job,
+            number,
+            dependencies,
+        }))
+    }
+}
+
+/// Reads the dependencies on a job's pages. None if pages are missing because the job is no longer open.
 pub async fn read_pages(
     state_store: &StateStoreClient,
-    record: &mut OpenJobRecord,
-) -> Result<bool, StateStoreError> {
-    if record.dependency_pages == 0 {
-        return Ok(true);
+    id: &JobId,
+    page_count: u32,
+) -> Result<Option<Vec<JobId>>, StateStoreError> {
+    let (items, _) = state_store.list(&page_key_prefix(id)).await?;
+    let mut pages = BTreeMap::new();
+    for item in items {
+        let page = DependencyPage::parse(&item)?;
+        pages.extend(page.map(|page| (page.number, page.dependencies)));
     }
-    let id = record.spec.id.clone();
-    let (items, _) = state_store.list(&page_key_prefix(&id)).await?;
-    if items.len() < record.dependency_pages as usize {
-        let open = state_store.get(&open_job_key(&id)).await?;
-        return match open {
-            None => Ok(false),
-            // A job is never opened again after its pages are deleted, so the two reads contradict each other and
-            // the caller has to read again.
-            Some(_) => Err(StateStoreError::OutcomeUnknown),
-        };
+    pages.retain(|number, _| *number < page_count);
+    if pages.len() == page_count as usize {
+        return Ok(Some(pages.into_values().flatten().collect()));
     }
-    for number in 0..record.dependency_pages {
-        let page = find_page(&items, &dependency_page_key(&id, number))?;
-        record.upstream_jobs.extend(page);
+    match state_store.get(&open_job_key(id)).await? {
+        None => Ok(None),
+        // A job is never opened again after its pages are deleted, so the two reads contradict each other and the
+        // caller has to read again.
+        Some(_) => Err(StateStoreError::OutcomeUnknown),
     }
-    Ok(true)
-}
-
-fn find_page(items: &[KeyValue], key: &str) -> Result<Vec<JobId>, StateStoreError> {
-    let item = items.iter().find(|item| item.key == key);
-    let page = item.and_then(|item| serde_json::from_value::<Vec<JobId>>(item.data.clone()).ok());
-    page.ok_or_else(|| {
-        tracing::error!(key, "unreadable dependency page");
-        StateStoreError::OutcomeUnknown
-    })
 }
 
 fn page_key_prefix(id: &JobId) -> String {
     format!("{}/", dependency_list_key(id))
 }
+
+/// Returns a key that comes after those of all pages of the job, and not after those of other jobs that follow.
+pub fn key_after_pages(id: &JobId) -> String {
+    const CHARACTER_AFTER_SLASH: char = '0';
+    format!("{}{CHARACTER_AFTER_SLASH}", dependency_list_key(id))
+}
--- a/src/runtime/clients/job_lookup.rs
+++ b/src/runtime/clients/job_lookup.rs
@@ -49,6 +49,8 @@
 #[derive(Default)]
 pub struct TerminalStateCache {
     entries: Mutex<TerminalStates>,
+    /// Held during a paced read, so that concurrent lookups don't read the same record.
+    reading: tokio::sync::Mutex<()>,
 }
 
 #[derive(Default)]
@@ -58,6 +60,8 @@
     order: VecDeque<JobId>,
 }
 
+/// The maximum number of terminal records that one lookup reads without pacing.
+const MAX_UNPACED_READS: usize = 16;
 /// The maximum number of cached terminal states.
 const MAX_TERMINAL_STATES: usize = 20_000;
 
@@ -97,8 +101,14 @@
         let state = find_terminal_state(node, id).await?;
         return Ok(state.map_or(JobState::NeverAccepted, JobState::Terminal));
     };
+    let unknown = job.closed_upstream.iter();
+    let unknown = unknown.filter(|id| node.terminal_states.get(id).is_none());
+    let is_paced = unknown.count() > MAX_UNPACED_READS;
     for upstream in &job.closed_upstream {
-        let state = find_terminal_state(node, upstream).await?;
+        let state = match is_paced {
+            true => find_terminal_state_paced(node, upstream).await?,
+            false => find_terminal_state(node, upstream).await?,
+        };
         if state.is_some_and(|state| state.is_cancelled()) {
             let cancelled = TerminalState::cancelled(job.tasks);
             node.terminal_states.insert(id, cancelled);
@@ -108,6 +118,22 @@
     Ok(JobState::Open(job))
 }
 
+/// Returns the terminal state of a job that is not open, at most one at a time and within the rate for reads of many
+/// requests.
+///
+/// Guards against lookups of jobs with many closed upstream jobs after a restart: each read the same terminal records, as
+/// fast as it could. States read before a lookup times out are cached, so the next one continues after them.
+async fn find_terminal_state_paced(
+    node: &Node,
+    id: &JobId,
+) -> Result<Option<TerminalState>, StateStoreError> {
+    let _reading = node.terminal_states.reading.lock().await;
+    if node.terminal_states.get(id).is_none() {
+        node.state_store.wait_for_read_budget().await;
+    }
+    find_terminal_state(node, id).await
+}
+
 /// Returns the terminal state of a job that is not open; None if the job was never accepted.
 pub async fn find_terminal_state(
     node: &Node,
--- a/src/runtime/clients/mod.rs
+++ b/src/runtime/clients/mod.rs
@@ -5,9 +5,12 @@
 
 pub mod catalog;
 pub mod cloud;
+pub mod dependency_lists;
 pub mod dependency_pages;
 pub mod job_lookup;
 pub mod open_job_cache;
+pub mod open_job_records;
 pub mod peers;
+pub mod read_pacer;
 pub mod state_store;
 pub mod upstream_jobs;
--- a/src/runtime/clients/open_job_cache.rs
+++ b/src/runtime/clients/open_job_cache.rs
@@ -4,13 +4,16 @@
 //!
 //! Lookups are linearizable: each waits for a read that starts after the lookup, and never returns an older state.
 
-use super::dependency_pages;
-use super::state_store::{StateStoreClient, StateStoreError};
+use super::dependency_lists::{DependencyList, ListsByJob};
+use super::open_job_records::{read_dependency_lists, OpenJobChanges, StoredOpenJob};
+use super::state_store::StateStoreError;
 use crate::ids::{JobId, KeyRevision, StoreRevision};
+use crate::protocol::state::KeyValue;
 use crate::runtime::{lock, Node};
-use crate::storage::records::{OpenJobRecord, OPEN_JOB_PREFIX};
+use crate::storage::records::OPEN_JOB_PREFIX;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
@@ -23,7 +26,7 @@
     /// The number of tasks of the job.
     pub tasks: u32,
     /// The upstream jobs that the job depends on directly.
-    pub dependencies: Vec<JobId>,
+    pub dependencies: DependencyList,
 }
 
 /// An open job, with those of its direct and indirect upstream jobs that are no longer open.
@@ -51,6 +54,8 @@
 pub struct OpenJobCache {
     pending: Mutex<Vec<PendingLookup>>,
     requested: Notify,
+    /// Whether all open jobs have been listed once.
+    listed: AtomicBool,
 }
 
 impl OpenJobCache {
@@ -65,6 +70,11 @@
         received.await.unwrap_or(Err(StateStoreError::NotExecuted))
     }
 
+    /// Whether all open jobs have been listed since this controller started.
+    pub fn is_listed(&self) -> bool {
+        self.listed.load(Ordering::Relaxed)
+    }
+
     fn take_pending(&self) -> Vec<PendingLookup> {
         std::mem::take(&mut *lock(&self.pending))
     }
@@ -83,14 +93,20 @@
     let spacing = read_spacing(&node);
     let mut jobs = CachedJobs::default();
     loop {
-        let requested = node.open_jobs.requested.notified();
-        tokio::select! {
-            _ = node.stop.cancelled() => return,
-            _ = tokio::time::timeout(IDLE_READ_INTERVAL, requested) => {}
+        // The first list is needed at once: this controller can't campaign for the leadership without it.
+        if node.open_jobs.is_listed() {
+            let requested = node.open_jobs.requested.notified();
+            tokio::select! {
+                _ = node.stop.cancelled() => return,
+                _ = tokio::time::timeout(IDLE_READ_INTERVAL, requested) => {}
+            }
         }
         let lookups = node.open_jobs.take_pending();
         // The read is sent after these lookups were requested, so its result is linearizable for them.
-        let outcome = jobs.update(&node.state_store).await;
+        let outcome = jobs.update(&node).await;
+        if outcome.is_ok() {
+            node.open_jobs.listed.store(true, Ordering::Relaxed);
+        }
         for lookup in lookups {
             let result = outcome.map(|()| jobs.open_job(&lookup.id));
             let _ = lookup.response.send(result);
@@ -111,22 +127,36 @@
 }
 
 impl OpenJobSummary {
-    /// Creates the summary of an open job record, and reads its dependency pages. A record that can't be parsed yields
-    /// a summary without dependencies, since the job is open nevertheless. None if the job is no longer open.
+    /// Creates the summary of an open job record, and reads its dependency list if that is stored on pages. None if the
+    /// job is no longer open.
     pub async fn read(
-        state_store: &StateStoreClient,
-        revision: KeyRevision,
-        data: &Value,
+        node: &Node,
+        item: KeyValue,
     ) -> Result<Option<OpenJobSummary>, StateStoreError> {
-        let Ok(mut record) = serde_json::from_value::<OpenJobRecord>(data.clone()) else {
-            return Ok(Some(OpenJobSummary::of_unreadable_record(revision, data)));
+        let jobs = StoredOpenJob::parse_all(vec![item]);
+        let lists = read_dependency_lists(node, &jobs).await?;
+        Ok(jobs.first().and_then(|job| OpenJobSummary::of(job, &lists)))
+    }
+
+    /// Returns the summary of the job, whose dependency list is among `lists` if it is stored on pages. A record that
+    /// can't be parsed yields a summary without dependencies, since the job is open nevertheless. None if the job is no
+    /// longer open.
+    fn of(job: &StoredOpenJob, lists: &ListsByJob) -> Option<OpenJobSummary> {
+        let Some(record) = &job.record else {
+            return Some(OpenJobSummary::of_unreadable_record(
+                job.revision,
+                &job.data,
+            ));
         };
-        let open = dependency_pages::read_pages(state_store, &mut record).await?;
-        Ok(open.then_some(OpenJobSummary {
-            revision,
+        let dependencies = match record.dependency_pages {
+            0 => record.upstream_jobs.as_slice().into(),
+            _ => lists.get(&job.id)?.clone(),
+        };
+        Some(OpenJobSummary {
+            revision: job.revision,
             tasks: record.spec.tasks,
-            dependencies: record.upstream_jobs,
-        }))
+            dependencies,
+        })
     }
 
     fn of_unreadable_record(revision: KeyRevision, data: &Value) -> OpenJobSummary {
@@ -134,7 +164,7 @@
         OpenJobSummary {
             revision,
             tasks: tasks.and_then(|n| u32::try_from(n).ok()).unwrap_or(1),
-            dependencies: Vec::new(),
+            dependencies: DependencyList::default(),
         }
     }
 }
@@ -148,12 +178,14 @@
 }
 
 impl CachedJobs {
-    async fn update(&mut self, state_store: &StateStoreClient) -> Result<(), StateStoreError> {
+    /// Reads the changes since the last update, or all open jobs. After a failure the store revision stays, so the same
+    /// changes are read again; the dependency lists that were read meanwhile are kept.
+    async fn update(&mut self, node: &Node) -> Result<(), StateStoreError> {
         let since = match self.store_revision {
             Some(store_revision) => store_revision,
-            None => self.list(state_store).await?,
+            None => self.list(node).await?,
         };
-        let page = match state_store.changes(OPEN_JOB_PREFIX, since).await {
+        let page = match node.state_store.changes(OPEN_JOB_PREFIX, since).await {
             Ok(page) => page,
             Err(error) => {
                 // All open jobs are listed again after a compaction, and also if the failed read was to complete a
@@ -163,54 +195,49 @@
                 return Err(error);
             }
         };
-        for event in page.events {
-            if let Some(key) = &event.put_key {
-                self.put(state_store, key, &event.data, event.revision)
-                    .await?;
-            } else if let Some(id) = event
-                .deleted_key
-                .as_deref()
-                .and_then(|key| key.strip_prefix(OPEN_JOB_PREFIX))
-            {
-                self.open.remove(&JobId::from(id));
-            }
-        }
+        self.apply(node, OpenJobChanges::parse(page.events)).await?;
         self.store_revision = Some(page.store_revision);
+        self.forget_closed_lists(node);
         Ok(())
     }
 
     /// Replaces the cache with a list of all open jobs. Changes after the returned revision still have to be read,
     /// since the pages of the list may be of different revisions.
-    async fn list(
-        &mut self,
-        state_store: &StateStoreClient,
-    ) -> Result<StoreRevision, StateStoreError> {
-        let (items, store_revision) = state_store.list(OPEN_JOB_PREFIX).await?;
+    async fn list(&mut self, node: &Node) -> Result<StoreRevision, StateStoreError> {
+        let (items, store_revision) = node.state_store.list(OPEN_JOB_PREFIX).await?;
+        let listed = StoredOpenJob::parse_all(items);
+        let lists = read_dependency_lists(node, &listed).await?;
         self.open.clear();
-        for item in items {
-            self.put(state_store, &item.key, &item.data, item.revision)
-                .await?;
-        }
+        self.insert(listed, &lists);
         Ok(store_revision)
     }
 
-    /// Inserts an open job record. After a failure the store revision stays, so the same changes are read again.
-    async fn put(
-        &mut self,
-        state_store: &StateStoreClient,
-        key: &str,
-        data: &Value,
-        revision: KeyRevision,
-    ) -> Result<(), StateStoreError> {
-        let Some(id) = key.strip_prefix(OPEN_JOB_PREFIX) else {
-            return Ok(());
-        };
-        let summary = OpenJobSummary::read(state_store, revision, data).await?;
-        let entry = summary.map(|summary| (JobId::from(id), summary));
-        self.open.extend(entry);
+    /// Applies changes of open job records.
+    async fn apply(&mut self, node: &Node, changes: OpenJobChanges) -> Result<(), StateStoreError> {
+        for id in &changes.closed {
+            self.open.remove(id);
+            node.dependency_lists.remove(id);
+        }
+        let lists = read_dependency_lists(node, &changes.opened).await?;
+        self.insert(changes.opened, &lists);
         Ok(())
     }
 
+    fn insert(&mut self, jobs: Vec<StoredOpenJob>, lists: &ListsByJob) {
+        for job in jobs {
+            let summary = OpenJobSummary::of(&job, lists);
+            self.open.extend(summary.map(|summary| (job.id, summary)));
+        }
+    }
+
+    /// Forgets the dependency lists of closed jobs. The leader may have read some after their jobs were closed here.
+    fn forget_closed_lists(&self, node: &Node) {
+        if node.dependency_lists.len() > self.open.len() {
+            let is_open = |id: &JobId| self.open.contains_key(id);
+            node.dependency_lists.retain(is_open);
+        }
+    }
+
     /// Returns the job with its closed upstream jobs. Each upstream job is visited once, even if several paths lead to
     /// it.
     fn open_job(&self, id: &JobId) -> Option<OpenJob> {
@@ -223,7 +250,7 @@
                 continue;
             }
             match self.open.get(upstream) {
-                Some(open) => to_visit.extend(&open.dependencies),
+                Some(open) => to_visit.extend(open.dependencies.iter()),
                 None => closed_upstream.push(upstream.clone()),
             }
         }
--- a/src/runtime/clients/state_store.rs
+++ b/src/runtime/clients/state_store.rs
@@ -1,7 +1,9 @@
 //! The client of the state store (a consensus-backed key-value store).
 //!
-//! Every error states whether the request may have been executed. Requests are not retried here.
+//! Every error states whether the request may have been executed. Requests are not retried here, apart from those of
+//! listings that the state store refuses for its rate limit.
 
+use super::read_pacer::{ReadPacer, RetryBackoff};
 use crate::ids::{LeaseId, StoreRevision};
 use crate::protocol::state::{
     KeyValue, KeyValuePage, LeaseGranted, Transaction, TransactionApplied, TransactionConflict,
@@ -55,8 +57,10 @@
 const CHANGES_TIMEOUT: TimeSpan = TimeSpan(2000);
 /// The timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
-/// The number of keys on one page of a listing.
-const LIST_PAGE_SIZE: usize = 1000;
+/// The maximum number of keys in the response to a list request.
+pub const MAX_LIST_ITEMS: usize = 1000;
+/// How often the same request of a listing may be refused for the rate limit before the listing fails.
+const MAX_LIST_REFUSALS: u32 = 8;
 /// The maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// The value of `last_success_ms` before the first success.
@@ -66,17 +70,20 @@
 pub struct StateStoreClient {
     http: HttpClient,
     address: String,
+    read_pacer: ReadPacer,
     started: std::time::Instant,
     /// The time of the last response with a status other than 429 or 503, in milliseconds since `started`.
     last_success_ms: AtomicI64,
 }
 
 impl StateStoreClient {
-    /// Creates a client for the store at `address`, with at most `max_sockets` idle connections.
-    pub fn new(address: String, max_sockets: usize) -> Self {
+    /// Creates a client for the store at `address`, with at most `max_sockets` idle connections. `read_pacer` paces the
+    /// listings of more than one request.
+    pub fn new(address: String, max_sockets: usize, read_pacer: ReadPacer) -> Self {
         StateStoreClient {
             http: HttpClient::new(CONNECT_TIMEOUT, max_sockets.min(MAX_IDLE_CONNECTIONS)),
             address,
+            read_pacer,
             started: std::time::Instant::now(),
             last_success_ms: AtomicI64::new(NEVER_MS),
         }
@@ -99,33 +106,92 @@
         }
     }
 
+    /// Reads one key of a listing: like [`Self::get`], but sent again if the state store refuses it for its rate limit.
+    pub async fn get_persistently(&self, key: &str) -> Result<Option<KeyValue>, StateStoreError> {
+        let mut backoff = RetryBackoff::default();
+        for _ in 0..MAX_LIST_REFUSALS {
+            match self.get(key).await {
+                Err(StateStoreError::RateLimited) => backoff.pause().await,
+                outcome => return outcome,
+            }
+        }
+        Err(StateStoreError::RateLimited)
+    }
+
     /// Lists all keys with the prefix, and returns with them the store revision of the first page. The list includes
     /// every change up to that revision and may include later ones, which a watch from that revision reports again.
     pub async fn list(
         &self,
         prefix: &str,
     ) -> Result<(Vec<KeyValue>, StoreRevision), StateStoreError> {
-        let mut items: Vec<KeyValue> = Vec::new();
-        let mut first_revision = None;
-        loop {
-            let since = items
-                .last()
-                .map_or(String::new(), |item| format!("&since={}", item.key));
-            let path = format!("/store?prefix={prefix}{since}&most={LIST_PAGE_SIZE}");
-            let response = self
-                .call(Method::GET, &path, None, LIST_PAGE_TIMEOUT)
-                .await?;
-            if response.status != 200 {
-                return Err(StateStoreError::NotExecuted);
-            }
-            let page: KeyValuePage = parse_body(&response)?;
-            let store_revision = *first_revision.get_or_insert(page.store_revision);
-            let more = page.has_more && !page.pairs.is_empty();
+        let first = self
+            .list_page_persistently(prefix, "", MAX_LIST_ITEMS)
+            .await?;
+        let store_revision = first.store_revision;
+        let mut items = first.pairs;
+        let mut has_more = first.has_more;
+        while let Some(last) = items.last().filter(|_| has_more) {
+            let page = self.list_some(prefix, &last.key, MAX_LIST_ITEMS).await?;
+            has_more = page.has_more && !page.pairs.is_empty();
             items.extend(page.pairs);
-            if !more {
-                return Ok((items, store_revision));
+        }
+        Ok((items, store_revision))
+    }
+
+    /// Lists up to `limit` keys with the prefix that come after `since`, within the rate for reads of many requests.
+    pub async fn list_some(
+        &self,
+        prefix: &str,
+        since: &str,
+        limit: usize,
+    ) -> Result<KeyValuePage, StateStoreError> {
+        self.read_pacer.wait().await;
+        self.list_page_persistently(prefix, since, limit).await
+    }
+
+    /// Waits until the next request of a read of many requests may be sent.
+    pub async fn wait_for_read_budget(&self) {
+        self.read_pacer.wait().await;
+    }
+
+    /// Lists one page, with increasing pauses while the state store refuses the request for its rate limit.
+    ///
+    /// Guards against a failover that never ends: the first refused request of a listing made it start again from the
+    /// beginning, at once, which used up the rate that it was waiting for.
+    async fn list_page_persistently(
+        &self,
+        prefix: &str,
+        since: &str,
+        limit: usize,
+    ) -> Result<KeyValuePage, StateStoreError> {
+        let mut backoff = RetryBackoff::default();
+        for _ in 0..MAX_LIST_REFUSALS {
+            match self.list_page(prefix, since, limit).await {
+                Err(StateStoreError::RateLimited) => backoff.pause().await,
+                outcome => return outcome,
             }
         }
+        Err(StateStoreError::RateLimited)
+    }
+
+    async fn list_page(
+        &self,
+        prefix: &str,
+        since: &str,
+        limit: usize,
+    ) -> Result<KeyValuePage, StateStoreError> {
+        let since = match since {
+            "" => String::new(),
+            key => format!("&since={key}"),
+        };
+        let path = format!("/store?prefix={prefix}{since}&most={limit}");
+        let response = self
+            .call(Method::GET, &path, None, LIST_PAGE_TIMEOUT)
+            .await?;
+        match response.status {
+            200 => parse_body(&response),
+            _ => Err(StateStoreError::NotExecuted),
+        }
     }
 
     /// Executes a transaction: applies all of its changes if all preconditions hold, and none otherwise.
--- a/src/runtime/clients/upstream_jobs.rs
+++ b/src/runtime/clients/upstream_jobs.rs
@@ -3,6 +3,7 @@
 //! The state of each job is read from the state store after the submission arrived, never from a stale cache. For a
 //! few jobs, each is read by its own request; for more, the lookup uses the coalesced reads of the open job cache.
 
+use super::dependency_lists::DependencyList;
 use super::job_lookup::{find_terminal_state, TerminalState};
 use super::open_job_cache::OpenJobSummary;
 use super::state_store::StateStoreError;
@@ -85,7 +86,7 @@
             let direct = ids.contains(&id);
             match state {
                 SingleJob::Open { dependencies } => {
-                    next_level.extend(dependencies);
+                    next_level.extend(dependencies.iter().cloned());
                     findings.unfinished.extend(direct.then_some(id));
                 }
                 SingleJob::Terminal(state) => findings.cancelled |= state.is_cancelled(),
@@ -100,14 +101,14 @@
 
 /// The state of a job that was read by its own request.
 enum SingleJob {
-    Open { dependencies: Vec<JobId> },
+    Open { dependencies: DependencyList },
     Terminal(TerminalState),
     NeverAccepted,
 }
 
 async fn read_one(node: &Node, id: &JobId) -> Result<SingleJob, StateStoreError> {
     if let Some(item) = node.state_store.get(&open_job_key(id)).await? {
-        let summary = OpenJobSummary::read(&node.state_store, item.revision, &item.data).await?;
+        let summary = OpenJobSummary::read(node, item).await?;
         if let Some(summary) = summary {
             let dependencies = summary.dependencies;
             return Ok(SingleJob::Open { dependencies });
--- a/src/runtime/leader/effects.rs
+++ b/src/runtime/leader/effects.rs
@@ -24,9 +24,9 @@
 /// Range of the random pause in the leader's writes after the state store has rejected one for its rate limit:
 /// clients that were rejected together don't retry together.
 const RATE_LIMITED_PAUSE_MS: std::ops::Range<i64> = 200..500;
-/// Pause between reads of terminal records: a failover with many dependencies must not exhaust the state
-/// store's rate limit.
-const TERMINAL_READ_SPACING: Duration = Duration::from_millis(15);
+/// The fraction of the state store's request rate limit that the leader's reads of terminal records use: a failover with
+/// many dependencies must not exhaust it.
+const TERMINAL_READ_RATE_SHARE: f64 = 0.5;
 /// Pause before a failed read is retried, plus a random jitter of at most the same length.
 const READ_RETRY_PAUSE_MS: u64 = 150;
 /// Timeout of a push.
@@ -125,12 +125,14 @@
     authority: &Authority,
     ids: Vec<JobId>,
 ) -> Option<Event> {
+    let request_rate = node.policy.facts.state.effective().rps * TERMINAL_READ_RATE_SHARE;
+    let spacing = Duration::from_secs_f64(1.0 / request_rate);
     let mut records = Vec::new();
     for job in ids {
         let item = read_with_retry(node, authority, &terminal_key(&job)).await?;
         let record = item.and_then(|item| serde_json::from_value(item.data).ok());
         records.push(TerminalRecordRead { job, record });
-        tokio::time::sleep(TERMINAL_READ_SPACING).await;
+        tokio::time::sleep(spacing).await;
     }
     Some(Event::TerminalRecordsRead(records))
 }
--- a/src/runtime/leader/election.rs
+++ b/src/runtime/leader/election.rs
@@ -33,6 +33,11 @@
     node.leadership
         .set_other_leader(other.map(|name| (name, requested_at)));
     let vacant = leader_key.is_none();
+    // Guards against a failover that lasts longer than the leader's authority, because it reads many dependency lists:
+    // this controller knows nearly all of them once it has listed the open jobs.
+    if !node.open_jobs.is_listed() {
+        return None;
+    }
     if !(vacant || is_predecessor) || node.leadership.must_not_campaign(node.now(), vacant) {
         return None;
     }
--- a/src/runtime/leader/job_watch.rs
+++ b/src/runtime/leader/job_watch.rs
@@ -4,9 +4,11 @@
 use super::term::TermContext;
 use crate::coordination::leadership::recovery::RecoveredState;
 use crate::coordination::{Event, OpenJob};
-use crate::ids::{JobId, StoreRevision};
-use crate::protocol::state::{KeyValue, WatchEvent, WatchResponse};
-use crate::runtime::clients::dependency_pages;
+use crate::ids::StoreRevision;
+use crate::protocol::state::WatchResponse;
+use crate::runtime::clients::open_job_records::{
+    read_dependency_lists, OpenJobChanges, StoredOpenJob,
+};
 use crate::runtime::clients::state_store::StateStoreError;
 use crate::runtime::{unix_time_ms, Node};
 use crate::storage::records::{
@@ -23,10 +25,11 @@
 /// Upper bound of a job's age, whatever submission time is in its record.
 const MAX_JOB_AGE_MS: u64 = 1 << 50;
 
-/// Reads the state that a new leader recovers from; None if any read fails. The leader key was written before
-/// these reads, so they miss no launch intent of a former leader: its writes have the previous revision of the
-/// leader key as a precondition.
-pub async fn read_recovered_state(node: &Node) -> Option<(RecoveredState, StoreRevision)> {
+/// Reads the state that a new leader recovers from. The leader key was written before these reads, so they miss no launch
+/// intent of a former leader: its writes have the previous revision of the leader key as a precondition.
+pub async fn read_recovered_state(
+    node: &Node,
+) -> Result<(RecoveredState, StoreRevision), StateStoreError> {
     let store = &node.state_store;
     let requested_at = node.now();
     let (
@@ -40,12 +43,12 @@
         store.list(PROGRESS_PREFIX),
         store.list(MACHINE_PAGE_PREFIX),
         store.list(INTENT_PAGE_PREFIX),
-        store.get(HINTS_KEY),
-    )
-    .ok()?;
+        store.get_persistently(HINTS_KEY),
+    )?;
+    let open_jobs = StoredOpenJob::parse_all(open_jobs);
     let recovered = RecoveredState {
         requested_at,
-        open_jobs: read_open_jobs(node, open_jobs).await.ok()?,
+        open_jobs: with_dependencies(node, open_jobs).await?,
         progress_records,
         intent_pages,
         machine_pages,
@@ -53,28 +56,29 @@
         hints,
         unix_time_at_zero_ms: unix_time_ms().saturating_sub(node.now().0.max(0) as u64),
     };
-    Some((recovered, store_revision))
+    Ok((recovered, store_revision))
 }
 
-async fn read_open_jobs(
+/// Returns the open jobs with their dependencies, also those that are stored on pages. Omits jobs that are no longer open,
+/// and unreadable records.
+async fn with_dependencies(
     node: &Node,
-    items: Vec<KeyValue>,
+    jobs: Vec<StoredOpenJob>,
 ) -> Result<Vec<OpenJob>, StateStoreError> {
-    let mut jobs = Vec::new();
-    for item in items {
-        let Ok(mut record) = serde_json::from_value::<OpenJobRecord>(item.data) else {
-            tracing::error!(key = %item.key, "unreadable open job record");
-            continue;
-        };
-        if dependency_pages::read_pages(&node.state_store, &mut record).await? {
-            jobs.push(OpenJob {
-                submitted_at: submitted_at(node, &record),
-                record,
-                revision: item.revision,
-            });
+    let lists = read_dependency_lists(node, &jobs).await?;
+    let with_dependencies = |job: StoredOpenJob| {
+        let mut record = job.record?;
+        if record.dependency_pages > 0 {
+            let list = lists.get(&job.id)?;
+            record.upstream_jobs.extend(list.iter().cloned());
         }
-    }
-    Ok(jobs)
+        Some(OpenJob {
+            submitted_at: submitted_at(node, &record),
+            record,
+            revision: job.revision,
+        })
+    };
+    Ok(jobs.into_iter().filter_map(with_dependencies).collect())
 }
 
 fn submitted_at(node: &Node, record: &OpenJobRecord) -> Instant {
@@ -96,9 +100,9 @@
             response = node.state_store.watch(OPEN_JOB_PREFIX, since, hold, timeout) => response,
         };
         match apply_changes(node, response).await {
-            Ok(response) => {
-                log_changes(node, since, &response, requested_at);
-                since = response.store_revision;
+            Ok(applied) => {
+                log_changes(node, since, &applied, requested_at);
+                since = applied.store_revision;
                 view_refreshed(&term, requested_at);
                 tokio::time::sleep(WATCH_PAUSE).await;
             }
@@ -120,57 +124,44 @@
     term.authority.view_refreshed(requested_at);
 }
 
-fn log_changes(node: &Node, since: StoreRevision, response: &WatchResponse, requested_at: Instant) {
+fn log_changes(node: &Node, since: StoreRevision, applied: &AppliedChanges, requested_at: Instant) {
     tracing::debug!(
         %since,
-        store_revision = %response.store_revision,
+        store_revision = %applied.store_revision,
         age_ms = (node.now() - requested_at).0,
-        changes = response.events.len(),
+        changes = applied.change_count,
         "open job changes received"
     );
 }
 
+/// The changes in a watch response that were passed to the scheduler.
+struct AppliedChanges {
+    store_revision: StoreRevision,
+    change_count: usize,
+}
+
 /// Passes the changes in a watch response to the scheduler. After a failure partway through, the same changes
 /// are read again, so the scheduler may receive a change twice.
 async fn apply_changes(
     node: &Node,
     response: Result<WatchResponse, StateStoreError>,
-) -> Result<WatchResponse, StateStoreError> {
-    let response = response?;
-    for change in &response.events {
-        if let Some(key) = &change.put_key {
-            apply_open_job(node, key, change).await?;
-        } else if let Some(id) = change
-            .deleted_key
-            .as_deref()
-            .and_then(|key| key.strip_prefix(OPEN_JOB_PREFIX))
-        {
-            let id = JobId::from(id);
-            let closed = Event::JobClosed { id };
-            node.leadership.handle_event(node.now(), closed);
-        }
+) -> Result<AppliedChanges, StateStoreError> {
+    let mut response = response?;
+    let change_count = response.events.len();
+    let changes = OpenJobChanges::parse(std::mem::take(&mut response.events));
+    // Cancellations don't wait for the dependency lists of other jobs.
+    for id in changes.closed {
+        let closed = Event::JobClosed { id };
+        node.leadership.handle_event(node.now(), closed);
     }
-    Ok(response)
-}
-
-async fn apply_open_job(
-    node: &Node,
-    key: &str,
-    change: &WatchEvent,
-) -> Result<(), StateStoreError> {
-    let Ok(mut record) = serde_json::from_value::<OpenJobRecord>(change.data.clone()) else {
-        tracing::error!(key, "unreadable open job record");
-        return Ok(());
-    };
-    if dependency_pages::read_pages(&node.state_store, &mut record).await? {
-        let opened = Event::JobOpened(Box::new(OpenJob {
-            submitted_at: submitted_at(node, &record),
-            record,
-            revision: change.revision,
-        }));
+    for job in with_dependencies(node, changes.opened).await? {
+        let opened = Event::JobOpened(Box::new(job));
         node.leadership.handle_event(node.now(), opened);
     }
-    Ok(())
+    Ok(AppliedChanges {
+        store_revision: response.store_revision,
+        change_count,
+    })
 }
 
 /// Whether the watch may have missed changes permanently.
@@ -191,7 +182,8 @@
     let node = &term.node;
     let requested_at = node.now();
     let (items, store_revision) = node.state_store.list(OPEN_JOB_PREFIX).await.ok()?;
-    let jobs = read_open_jobs(node, items).await.ok()?;
+    let listed = StoredOpenJob::parse_all(items);
+    let jobs = with_dependencies(node, listed).await.ok()?;
     tracing::info!(
         ?reason,
         %since,
--- a/src/runtime/leader/mod.rs
+++ b/src/runtime/leader/mod.rs
@@ -29,6 +29,7 @@
 use rand::Rng;
 use std::sync::Arc;
 use std::time::Duration;
+use term::TermEnd;
 
 /// Pause between two election attempts, plus a random jitter so that controllers rarely attempt it together.
 const CAMPAIGN_INTERVAL_MS: u64 = 500;
@@ -38,14 +39,21 @@
 pub async fn run(node: Arc<Node>) {
     while !node.stop.is_cancelled() {
         if let Some(won) = election::campaign(&node).await {
-            term::lead(&node, won).await;
-            continue;
-        }
-        let jitter_ms = rand::rng().random_range(0..MAX_CAMPAIGN_JITTER_MS);
-        let pause = Duration::from_millis(CAMPAIGN_INTERVAL_MS + jitter_ms);
-        tokio::select! {
-            _ = node.stop.cancelled() => {}
-            _ = tokio::time::sleep(pause) => {}
+            if term::lead(&node, won).await == TermEnd::Led {
+                continue;
+            }
         }
+        pause_campaign(&node).await;
+    }
+}
+
+/// Pauses between two election attempts, or until the controller stops. Without the pause after an abandoned failover,
+/// repeated elections would use up the request rate that the reads of a failover need.
+async fn pause_campaign(node: &Node) {
+    let jitter_ms = rand::rng().random_range(0..MAX_CAMPAIGN_JITTER_MS);
+    let pause = Duration::from_millis(CAMPAIGN_INTERVAL_MS + jitter_ms);
+    tokio::select! {
+        _ = node.stop.cancelled() => {}
+        _ = tokio::time::sleep(pause) => {}
     }
 }
--- a/src/runtime/leader/term.rs
+++ b/src/runtime/leader/term.rs
@@ -8,6 +8,7 @@
 use crate::coordination::leadership::LeadershipTerm;
 use crate::coordination::Scheduler;
 use crate::ids::{FencingToken, StoreRevision};
+use crate::runtime::clients::state_store::StateStoreError;
 use crate::runtime::Node;
 use crate::time::Instant;
 use std::sync::Arc;
@@ -49,8 +50,17 @@
     }
 }
 
+/// How a term ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TermEnd {
+    /// This controller has led.
+    Led,
+    /// The failover was not completed.
+    FailoverAbandoned,
+}
+
 /// Leads until the authority is lost, then revokes the lease.
-pub async fn lead(node: &Arc<Node>, won: ElectionWon) {
+pub async fn lead(node: &Arc<Node>, won: ElectionWon) -> TermEnd {
     let started_at = node.now();
     let (fencing_token, lease) = (won.term.initial_token, won.term.lease);
     let term = TermContext {
@@ -61,10 +71,17 @@
     tracing::info!(%fencing_token, version = env!("CARGO_PKG_VERSION"), "election won");
     let renewal = tokio::spawn(lease_renewal::renew(term.clone(), lease));
     node.leadership.start_failover();
-    match take_over(&term, won.term).await {
-        Some(failover) => run_tasks(&term, failover).await,
-        None => tracing::info!(%fencing_token, "failover abandoned"),
-    }
+    let end = match take_over(&term, won.term).await {
+        Ok(failover) => {
+            run_tasks(&term, failover).await;
+            TermEnd::Led
+        }
+        Err(reason) => {
+            let duration_ms = (node.now() - started_at).0;
+            tracing::info!(%fencing_token, %reason, duration_ms, "failover abandoned");
+            TermEnd::FailoverAbandoned
+        }
+    };
     term.authority.resign();
     node.leadership.deactivate();
     term.end.cancel();
@@ -73,6 +90,21 @@
     tracing::info!(%fencing_token, duration_ms, "leadership ended");
     // The tasks of the term have stopped, and another controller needn't wait for the lease to expire.
     node.state_store.revoke_lease(lease).await;
+    end
+}
+
+/// Why a failover was abandoned.
+#[derive(Debug, thiserror::Error)]
+enum FailoverError {
+    /// The state store did not answer a read.
+    #[error(transparent)]
+    Read(#[from] StateStoreError),
+    /// Guards against treating an attempt as never launched because its record is unreadable.
+    #[error("unreadable record")]
+    UnreadableRecord,
+    /// The reads took longer than the leader's authority lasted.
+    #[error("authority lapsed")]
+    AuthorityLapsed,
 }
 
 /// The result of a completed failover, whose scheduler is active.
@@ -82,20 +114,23 @@
     store_revision: StoreRevision,
 }
 
-/// Recovers the state that former leaders stored and activates the scheduler. None if anything can't be read or
-/// the authority has lapsed meanwhile.
-async fn take_over(term: &TermContext, leadership: LeadershipTerm) -> Option<CompletedFailover> {
+/// Recovers the state that former leaders stored and activates the scheduler.
+async fn take_over(
+    term: &TermContext,
+    leadership: LeadershipTerm,
+) -> Result<CompletedFailover, FailoverError> {
     let node = &term.node;
     let fencing_token = leadership.initial_token;
     let requested_at = node.now();
     let (recovered, store_revision) = job_watch::read_recovered_state(node).await?;
     let jobs = recovered.open_jobs.len();
     let scheduler = Scheduler::recover(node.policy.clone(), leadership, node.now(), recovered)
-        // Guards against treating an attempt as never launched because its record is unreadable.
-        .map_err(|error| tracing::error!(%error, "failover stopped by an unreadable record"))
-        .ok()?;
+        .map_err(|error| {
+            tracing::error!(%error, "failover stopped by an unreadable record");
+            FailoverError::UnreadableRecord
+        })?;
     if !term.authority.is_held(node.now()) {
-        return None;
+        return Err(FailoverError::AuthorityLapsed);
     }
     term.authority.view_refreshed(requested_at);
     log_failover(
@@ -112,7 +147,7 @@
         authority: term.authority.clone(),
         activity: activity.clone(),
     });
-    Some(CompletedFailover {
+    Ok(CompletedFailover {
         activity,
         store_revision,
     })
--- a/src/runtime/node.rs
+++ b/src/runtime/node.rs
@@ -8,12 +8,15 @@
 //! | [`Peers`] | the last status of each peer; cancellations still to be broadcast |
 //! | [`Catalog`] | the machine types |
 //! | [`OpenJobCache`] | lookups that wait for the next read of the open jobs |
+//! | [`DependencyLists`] | the dependency lists that were read from dependency pages |
 //! | [`TerminalStateCache`] | the cached terminal states |
 //! | [`TaskCountsFromLeader`] | the task counts that the leader last sent |
 //!
 //! No task acquires one of these locks while it holds another, so no lock order is needed. The one nested lock is
 //! that of the activity log's counters, which is acquired under the lock of the active leader. No lock is held
-//! across an `await`: each is acquired and released within one non-`async` method or one expression.
+//! across an `await`: each is acquired and released within one non-`async` method or one expression. Two asynchronous
+//! locks are held during reads of the state store, so that concurrent reads don't request the same keys: one for
+//! dependency lists, one for the terminal records of many upstream jobs. Neither is acquired while the other is held.
 
 use crate::config::Config;
 use crate::coordination::Policy;
@@ -21,9 +24,11 @@
 use crate::ids::JobId;
 use crate::runtime::clients::catalog::Catalog;
 use crate::runtime::clients::cloud::CloudClient;
+use crate::runtime::clients::dependency_lists::DependencyLists;
 use crate::runtime::clients::job_lookup::TerminalStateCache;
 use crate::runtime::clients::open_job_cache::OpenJobCache;
 use crate::runtime::clients::peers::Peers;
+use crate::runtime::clients::read_pacer::ReadPacer;
 use crate::runtime::clients::state_store::StateStoreClient;
 use crate::runtime::leader::LeadershipState;
 use crate::time::{Instant, TimeSpan};
@@ -67,6 +72,8 @@
     pub task_counts: TaskCountsFromLeader,
     /// The cache of the open jobs.
     pub open_jobs: OpenJobCache,
+    /// The dependency lists of open jobs that don't fit into the open job records.
+    pub dependency_lists: DependencyLists,
     /// The cache of terminal states.
     pub terminal_states: TerminalStateCache,
     /// Limits concurrent user requests: each holds one permit while it is handled.
@@ -99,6 +106,7 @@
             state_store: StateStoreClient::new(
                 endpoints.state_store.to_string(),
                 sockets.state_store,
+                ReadPacer::new(&platform.facts.state, platform.peers.len() + 1),
             ),
             cloud: CloudClient::new(endpoints.cloud.to_string(), sockets.cloud),
             // No idle connections: with thousands of machines, one to each would use up the sockets, and two
@@ -109,6 +117,7 @@
             catalog: Catalog::default(),
             task_counts: TaskCountsFromLeader::default(),
             open_jobs: OpenJobCache::default(),
+            dependency_lists: DependencyLists::default(),
             terminal_states: TerminalStateCache::default(),
             user_request_slots: Semaphore::new(max_user_requests),
             sockets,
--- a/src/storage/records/keys.rs
+++ b/src/storage/records/keys.rs
@@ -40,6 +40,12 @@
     format!("{DEPENDENCY_PREFIX}{job}/{page}")
 }
 
+/// Parses the key of a dependency page into the job and the number of the page. Returns `None` for any other key.
+pub fn parse_dependency_page_key(key: &str) -> Option<(JobId, u32)> {
+    let (job, page) = key.strip_prefix(DEPENDENCY_PREFIX)?.split_once('/')?;
+    Some((JobId::parse(job)?, page.parse().ok()?))
+}
+
 /// Key of a job's terminal record.
 pub fn terminal_key(job: &JobId) -> String {
     format!("{TERMINAL_PREFIX}{job}")
--- a/src/storage/records/mod.rs
+++ b/src/storage/records/mod.rs
@@ -29,9 +29,9 @@
 pub use jobs::{OpenJobRecord, RecordTooLarge, TerminalRecord};
 pub use keys::{
     dependency_list_key, dependency_page_key, intent_page_key, machine_page_key, open_job_key,
-    terminal_key, ProgressKey, RecordKey, CATALOG_KEY, DEPENDENCY_PREFIX, FENCING_TOKEN_KEY,
-    HINTS_KEY, INTENT_PAGE_PREFIX, LEADER_KEY, MACHINE_PAGE_PREFIX, OPEN_JOB_PREFIX,
-    PROGRESS_PREFIX, TERMINAL_PREFIX,
+    parse_dependency_page_key, terminal_key, ProgressKey, RecordKey, CATALOG_KEY,
+    DEPENDENCY_PREFIX, FENCING_TOKEN_KEY, HINTS_KEY, INTENT_PAGE_PREFIX, LEADER_KEY,
+    MACHINE_PAGE_PREFIX, OPEN_JOB_PREFIX, PROGRESS_PREFIX, TERMINAL_PREFIX,
 };
 pub use leader::LeaderRecord;
 pub use machines::{MachineEntry, MachineKind, MachinePage};
--- a/tests/loopback/cluster.rs
+++ b/tests/loopback/cluster.rs
@@ -3,7 +3,7 @@
 use super::client::{heartbeat, wait_for};
 use super::cloud::start_cloud;
 use super::http::http;
-use super::state_store::start_state_store;
+use super::state_store::{start_state_store, StateStore};
 use super::store_proxy::StoreProxy;
 use super::worker::WorkerLog;
 use std::net::{SocketAddr, TcpListener};
@@ -74,6 +74,8 @@
     pub controllers: usize,
     pub max_sockets: usize,
     pub cancel_secs: f64,
+    /// The state store's request rate limit in the settings.
+    pub store_requests_per_sec: f64,
     /// The content of the operator's settings file; None starts the controllers without one.
     pub operator: Option<&'a str>,
 }
@@ -85,6 +87,7 @@
             controllers: 3,
             max_sockets: 500,
             cancel_secs: 30.0,
+            store_requests_per_sec: 1000.0,
             operator: None,
         }
     }
@@ -105,6 +108,7 @@
     pub controllers: Vec<Controller>,
     /// The addresses of the controllers for users and workers, in the order of `controllers`.
     pub http_addrs: Vec<String>,
+    pub state_store: Arc<StateStore>,
     pub store_proxies: Vec<StoreProxy>,
     pub worker_log: Arc<WorkerLog>,
     directory: PathBuf,
@@ -123,8 +127,9 @@
         let (http_ports, peer_ports) = ports.split_at(count);
         let http_addrs: Vec<String> = http_ports.iter().map(|port| loopback(*port)).collect();
         let worker_log = Arc::new(WorkerLog::new());
-        let store = start_state_store();
-        let store_proxies: Vec<StoreProxy> = (0..count).map(|_| StoreProxy::start(store)).collect();
+        let (state_store, store_addr) = start_state_store();
+        let store_proxies: Vec<StoreProxy> =
+            (0..count).map(|_| StoreProxy::start(store_addr)).collect();
         let cloud = start_cloud(http_addrs.clone(), worker_log.clone());
         let directory = create_directory(options);
         let controllers: Vec<Controller> = (0..count)
@@ -148,6 +153,7 @@
         Cluster {
             controllers,
             http_addrs,
+            state_store,
             store_proxies,
             worker_log,
             directory,
@@ -234,6 +240,7 @@
             controllers,
             max_sockets,
             cancel_secs,
+            store_requests_per_sec,
             ..
         } = options;
         let peer_bind = loopback(self.peer_ports[*index]);
@@ -243,7 +250,7 @@
              [endpoints]\ncloud = \"{cloud}\"\nstate = \"{store}\"\n[facts]\nnodes = {controllers}\nclock_error_ms = 10.0\n\
              [[facts.teams]]\nname = \"blue\"\ngpus = 4.0\ngpus_max = 20.0\n\
              [facts.workers]\nreport_s = 0.3\nlease_s = 20.0\ngang_wait_s = 20.0\ngang_peer_s = 4.0\ncancel_s = {cancel_secs}\n\
-             [facts.state]\nrps = 1000.0\nwrite_rps = 500.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
+             [facts.state]\nrps = {store_requests_per_sec:.1}\nwrite_rps = 500.0\nvalue_kb = 4.0\ntxn_ops = 8\n\
              [facts.cloud]\nrps = 50.0\nlist_lag_s = 1.0\n[facts.quota]\ncores = 1.0\nmemory_mb = 500.0\nmax_sockets = {max_sockets}\n"
         )
     }
--- a/tests/loopback/dependencies.rs
+++ b/tests/loopback/dependencies.rs
@@ -224,3 +224,54 @@
     assert_eq!(cancel_confirmed(http_addr, "wk-000001"), "done");
     wait_for_phase(http_addr, "wk-000002", "done");
 }
+
+/// Submits a job for each id, several at a time and at all controllers.
+fn submit_concurrently(http_addrs: &[String], ids: &[String], spec: impl Fn(&str) -> Value + Sync) {
+    const JOBS_PER_THREAD: usize = 10;
+    let spec = &spec;
+    std::thread::scope(|scope| {
+        for (http_addr, ids) in http_addrs.iter().cycle().zip(ids.chunks(JOBS_PER_THREAD)) {
+            scope.spawn(move || {
+                for id in ids {
+                    submit_accepted(http_addr, &spec(id));
+                }
+            });
+        }
+    });
+}
+
+/// Guards against a failover that never completes: with more dependency lists than requests a second, each refused read made
+/// it start again.
+#[test]
+fn failover_reads_more_dependency_lists_than_requests_a_second() {
+    const REQUESTS_PER_SEC: f64 = 40.0;
+    const UPSTREAM_JOBS: usize = 90;
+    const DOWNSTREAM_JOBS: usize = 120;
+    let mut cluster = Cluster::start_with(&ClusterOptions {
+        store_requests_per_sec: REQUESTS_PER_SEC,
+        ..ClusterOptions::new("long-dependency-lists")
+    });
+    cluster.worker_log.set_run_time(UNBOUNDED_RUN_TIME);
+    let http_addrs = cluster.http_addrs.clone();
+    // Ids as long as these need two pages for each list.
+    let upstream: Vec<String> = (0..UPSTREAM_JOBS).map(|n| format!("wk-{n:040}")).collect();
+    submit_concurrently(&http_addrs, &upstream, |id| job_spec(id, 1));
+    let downstream = (0..DOWNSTREAM_JOBS).map(|n| format!("wk-7{n:05}"));
+    let downstream: Vec<String> = downstream.collect();
+    submit_concurrently(&http_addrs, &downstream, |id| {
+        downstream_spec(id, 1, json!(upstream))
+    });
+    cluster.state_store.limit_requests(REQUESTS_PER_SEC);
+    for controller in &mut cluster.controllers {
+        controller.kill();
+    }
+    for controller in &mut cluster.controllers {
+        controller.restart();
+    }
+    cluster.wait_for_leader(&mut SequenceNumbers::default());
+    for http_addr in &http_addrs {
+        for id in [&downstream[0], &downstream[DOWNSTREAM_JOBS - 1]] {
+            assert_eq!(wait_for_any_phase(http_addr, id), "queued");
+        }
+    }
+}
--- a/tests/loopback/state_store.rs
+++ b/tests/loopback/state_store.rs
@@ -12,10 +12,40 @@
 
 type Response = (u16, Value);
 
+/// A limit on requests per second, with bursts of one second's worth.
+struct RequestLimit {
+    requests_per_sec: f64,
+    available: f64,
+    updated_at: Instant,
+}
+
+impl RequestLimit {
+    fn new(requests_per_sec: f64) -> RequestLimit {
+        RequestLimit {
+            requests_per_sec,
+            available: requests_per_sec,
+            updated_at: Instant::now(),
+        }
+    }
+
+    fn try_take(&mut self) -> bool {
+        let refilled = self.updated_at.elapsed().as_secs_f64() * self.requests_per_sec;
+        self.available = (self.available + refilled).min(self.requests_per_sec);
+        self.updated_at = Instant::now();
+        let is_granted = self.available >= 1.0;
+        if is_granted {
+            self.available -= 1.0;
+        }
+        is_granted
+    }
+}
+
 /// The store, shared by the threads that serve its connections.
 #[derive(Default)]
-struct StateStore {
+pub struct StateStore {
     data: Mutex<StoreData>,
+    /// None if requests are not limited.
+    limit: Mutex<Option<RequestLimit>>,
 }
 
 impl StateStore {
@@ -23,7 +53,21 @@
         self.data.lock().expect("the lock is not poisoned")
     }
 
+    /// Refuses requests above this rate with status 429 from now on.
+    pub fn limit_requests(&self, requests_per_sec: f64) {
+        let mut limit = self.limit.lock().expect("the lock is not poisoned");
+        *limit = Some(RequestLimit::new(requests_per_sec));
+    }
+
+    fn exceeds_limit(&self) -> bool {
+        let mut limit = self.limit.lock().expect("the lock is not poisoned");
+        limit.as_mut().is_some_and(|limit| !limit.try_take())
+    }
+
     fn handle(&self, method: &str, path: &str, body: &Value) -> Response {
+        if self.exceeds_limit() {
+            return (429, json!({"error": "too many requests"}));
+        }
         if path.starts_with("/watch") {
             return self.watch(path);
         }
@@ -63,10 +107,12 @@
     }
 }
 
-/// Starts an empty state store. Returns its address.
-pub fn start_state_store() -> SocketAddr {
-    let store = StateStore::default();
-    serve(Arc::new(move |method, path, body| {
-        store.handle(method, path, body)
-    }))
+/// Starts an empty state store. Returns it and its address.
+pub fn start_state_store() -> (Arc<StateStore>, SocketAddr) {
+    let store = Arc::new(StateStore::default());
+    let served = store.clone();
+    let addr = serve(Arc::new(move |method, path, body| {
+        served.handle(method, path, body)
+    }));
+    (store, addr)
 }
--- a/tests/support/store_data.rs
+++ b/tests/support/store_data.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-/// The maximum number of items in the response to a list request.
+/// The maximum number of items in the response to a list request, and their maximum size.
 const MAX_ITEMS: usize = 1_000;
+const MAX_LIST_BYTES: usize = 512 * 1024;
 
 /// The status and the body of a response.
 type Response = (u16, Value);
@@ -169,8 +170,14 @@
             .take(limit + 1)
             .map(|(key, item)| json!({"key": key, "data": item.data, "stamp": item.revision}))
             .collect();
-        let has_next = pairs.len() > limit;
-        pairs.truncate(limit);
+        let mut bytes = 0;
+        let fitting = pairs.iter().take_while(|pair| {
+            bytes += pair.to_string().len();
+            bytes <= MAX_LIST_BYTES
+        });
+        let fitting = fitting.count().min(limit);
+        let has_next = pairs.len() > fitting;
+        pairs.truncate(fitting);
         (
             200,
             json!({"pairs": pairs, "hasNext": has_next, "epoch": self.store_revision}),
