--- a/src/runtime/clients/state_store.rs
+++ b/src/runtime/clients/state_store.rs
@@ -13,6 +13,7 @@
 use crate::transport::client::{HttpClient, HttpResponse, RequestError};
 use hyper::Method;
 use serde::de::DeserializeOwned;
+use std::future::Future;
 use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::Duration;
 
@@ -60,7 +61,7 @@
 /// The maximum number of keys in the response to a list request.
 pub const MAX_LIST_ITEMS: usize = 1000;
 /// How often the same request of a listing may be refused for the rate limit before the listing fails.
-const MAX_LIST_REFUSALS: u32 = 8;
+const MAX_REFUSALS: u32 = 8;
 /// The maximum number of idle connections.
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// The value of `last_success_ms` before the first success.
@@ -106,16 +107,9 @@
         }
     }
 
-    /// Reads one key of a listing: like [`Self::get`], but sent again if the state store refuses it for its rate limit.
+    /// Like [`Self::get`], but sent again if the state store refuses the request for its rate limit.
     pub async fn get_persistently(&self, key: &str) -> Result<Option<KeyValue>, StateStoreError> {
-        let mut backoff = RetryBackoff::default();
-        for _ in 0..MAX_LIST_REFUSALS {
-            match self.get(key).await {
-                Err(StateStoreError::RateLimited) => backoff.pause().await,
-                outcome => return outcome,
-            }
-        }
-        Err(StateStoreError::RateLimited)
+        retry_refused(|| self.get(key)).await
     }
 
     /// Lists all keys with the prefix, and returns with them the store revision of the first page. The list includes
@@ -124,9 +118,7 @@
         &self,
         prefix: &str,
     ) -> Result<(Vec<KeyValue>, StoreRevision), StateStoreError> {
-        let first = self
-            .list_page_persistently(prefix, "", MAX_LIST_ITEMS)
-            .await?;
+        let first = retry_refused(|| self.list_page(prefix, "", MAX_LIST_ITEMS)).await?;
         let store_revision = first.store_revision;
         let mut items = first.pairs;
         let mut has_more = first.has_more;
@@ -146,7 +138,7 @@
         limit: usize,
     ) -> Result<KeyValuePage, StateStoreError> {
         self.read_pacer.wait().await;
-        self.list_page_persistently(prefix, since, limit).await
+        retry_refused(|| self.list_page(prefix, since, limit)).await
     }
 
     /// Waits until the next request of a read of many requests may be sent.
@@ -154,26 +146,6 @@
         self.read_pacer.wait().await;
     }
 
-    /// Lists one page, with increasing pauses while the state store refuses the request for its rate limit.
-    ///
-    /// Guards against a failover that never ends: the first refused request of a listing made it start again from the
-    /// beginning, at once, which used up the rate that it was waiting for.
-    async fn list_page_persistently(
-        &self,
-        prefix: &str,
-        since: &str,
-        limit: usize,
-    ) -> Result<KeyValuePage, StateStoreError> {
-        let mut backoff = RetryBackoff::default();
-        for _ in 0..MAX_LIST_REFUSALS {
-            match self.list_page(prefix, since, limit).await {
-                Err(StateStoreError::RateLimited) => backoff.pause().await,
-                outcome => return outcome,
-            }
-        }
-        Err(StateStoreError::RateLimited)
-    }
-
     async fn list_page(
         &self,
         prefix: &str,
@@ -317,6 +289,24 @@
     }
 }
 
+/// Sends a request that may be repeated, with growing pauses while the state store refuses it for its rate limit.
+///
+/// Guards against a failover that never ends: the first refused request of a listing made it start again from the
+/// beginning, at once, which used up the rate that it was waiting for.
+async fn retry_refused<T, F>(request: impl Fn() -> F) -> Result<T, StateStoreError>
+where
+    F: Future<Output = Result<T, StateStoreError>>,
+{
+    let mut backoff = RetryBackoff::default();
+    for _ in 0..MAX_REFUSALS {
+        match request().await {
+            Err(StateStoreError::RateLimited) => backoff.pause().await,
+            outcome => return outcome,
+        }
+    }
+    Err(StateStoreError::RateLimited)
+}
+
 /// Parses a response body. If it can't be parsed, the outcome of the request is unknown.
 fn parse_body<T: DeserializeOwned>(response: &HttpResponse) -> Result<T, StateStoreError> {
     serde_json::from_slice(&response.body).map_err(|error| {
