Simulation checker: a task that ends as its machine is terminated has completed

Cause: a flaw of the check. The checker looked at workers only after the messages were delivered, so it never saw the completed tasks; the leader rightly counted the heartbeat. Change: the checker also records completed tasks before messages are delivered. The rule is as strict: it is compared with what workers completed.

--- a/tests/simulation/checker/placement.rs
+++ b/tests/simulation/checker/placement.rs
@@ -45,7 +45,9 @@
         self.placements = placements;
     }
 
-    fn record_completed_tasks(&mut self, workers: &BTreeMap<MachineId, Worker>) {
+    /// Records the tasks that workers have completed. Called before messages are delivered as well: a heartbeat reports
+    /// a task's end even if its machine is terminated at the same time.
+    pub fn record_completed_tasks(&mut self, workers: &BTreeMap<MachineId, Worker>) {
         for ((task, _), attempt) in workers.values().flat_map(|worker| &worker.attempts) {
             if attempt.cause == Some(Cause::Done) {
                 let done = self.completed_tasks.entry(task.job.clone()).or_default();
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -107,6 +107,7 @@
             self.renew_lease_or_elect();
         }
         self.advance_workers();
+        self.checker.record_completed_tasks(&self.workers);
         for message in self.network.take_due(self.now) {
             self.deliver(message);
         }
