Soak: long dependency lists before a crash of all controllers

The checker has the rule too_early, with a test that it sees a violation; a job whose upstream jobs aren't done is not left waiting. The limit of the loopback store moves to tests/support.

--- a/tests/loopback/main.rs
+++ b/tests/loopback/main.rs
@@ -8,6 +8,8 @@
 mod dependencies;
 mod http;
 mod invalid_requests;
+#[path = "../support/request_limit.rs"]
+mod request_limit;
 mod state_store;
 #[path = "../support/store_data.rs"]
 mod store_data;
--- a/tests/loopback/state_store.rs
+++ b/tests/loopback/state_store.rs
@@ -1,6 +1,7 @@
 //! A fake state store that speaks the published protocol: keys, transactions, leases and watches.
 
 use super::http::serve;
+use super::request_limit::RequestLimit;
 use super::store_data::{query_parameter, StoreData};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
@@ -12,34 +13,6 @@
 
 type Response = (u16, Value);
 
-/// A limit on requests per second, with bursts of one second's worth.
-struct RequestLimit {
-    requests_per_sec: f64,
-    available: f64,
-    updated_at: Instant,
-}
-
-impl RequestLimit {
-    fn new(requests_per_sec: f64) -> RequestLimit {
-        RequestLimit {
-            requests_per_sec,
-            available: requests_per_sec,
-            updated_at: Instant::now(),
-        }
-    }
-
-    fn try_take(&mut self) -> bool {
-        let refilled = self.updated_at.elapsed().as_secs_f64() * self.requests_per_sec;
-        self.available = (self.available + refilled).min(self.requests_per_sec);
-        self.updated_at = Instant::now();
-        let is_granted = self.available >= 1.0;
-        if is_granted {
-            self.available -= 1.0;
-        }
-        is_granted
-    }
-}
-
 /// The store, shared by the threads that serve its connections.
 #[derive(Default)]
 pub struct StateStore {
--- a/tests/soak/checker.rs
+++ b/tests/soak/checker.rs
@@ -21,6 +21,8 @@
     Quota,
     /// A task ran on a machine that its job's constraints exclude.
     WrongPlace,
+    /// A task started before all upstream jobs of its job were done.
+    TooEarly,
     /// A task ran for too long after its job's cancellation was confirmed.
     RanCancelled,
     /// A controller responded that an accepted job is unknown or invalid.
@@ -89,6 +91,8 @@
 
 struct CheckedJob {
     spec: JobSpec,
+    /// The jobs that must be done before the job starts.
+    upstream: Vec<String>,
     accepted_at: Option<Instant>,
     /// Whether a user has requested the cancellation, with any outcome.
     cancel_requested: bool,
@@ -143,6 +147,7 @@
     pub fn job_submitted(&mut self, spec: JobSpec) {
         let job = CheckedJob {
             spec,
+            upstream: Vec::new(),
             accepted_at: None,
             cancel_requested: false,
             terminal: None,
@@ -152,6 +157,21 @@
         self.jobs.entry(id).or_insert(job);
     }
 
+    /// Records that a job must not start before these jobs are done.
+    pub fn depends_on(&mut self, job: &str, upstream: &[String]) {
+        if let Some(job) = self.jobs.get_mut(job) {
+            job.upstream = upstream.to_vec();
+        }
+    }
+
+    /// Whether any upstream job of the job is not done.
+    pub fn is_blocked(&self, job: &str) -> bool {
+        let upstream = self.jobs.get(job).map_or(&[][..], |job| &job.upstream);
+        upstream
+            .iter()
+            .any(|id| !self.jobs.get(id).is_some_and(CheckedJob::is_complete))
+    }
+
     pub fn cancel_requested(&mut self, job: &str) {
         if let Some(job) = self.jobs.get_mut(job) {
             job.cancel_requested = true;
@@ -210,6 +230,9 @@
         self.starts += 1;
         self.check_single_run(now, attempt);
         self.check_placement(now, attempt);
+        if self.is_blocked(&attempt.job) {
+            self.record(now, Rule::TooEarly, format!("{attempt:?}"));
+        }
         self.running_attempts.insert(attempt.clone());
         self.check_quota(now, attempt);
     }
--- a/tests/soak/checker_sees.rs
+++ b/tests/soak/checker_sees.rs
@@ -3,7 +3,8 @@
 use super::checker::{Attempt, Checker, Limits, MachineInfo, Rule, UserResponse};
 use super::starvation::WaitingJobs;
 use super::world::{MachineKind, SimulatedJob, WorkerTimes, World};
-use chalklug::protocol::users::parse_submission;
+use chalklug::ids::JobId;
+use chalklug::protocol::users::{parse_submission, JobSpec};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -91,6 +92,30 @@
     assert_eq!(rules(&checker), [Rule::Quota]);
 }
 
+/// Returns the specification of a job of one task, for use as an upstream job.
+fn upstream_spec(checker: &Checker) -> JobSpec {
+    let mut spec = checker.spec("wk-1").expect("wk-1 is unknown").clone();
+    spec.id = JobId::from("wk-2");
+    spec.tasks = 1;
+    spec
+}
+
+#[test]
+fn checker_sees_a_task_started_before_its_upstream_job() {
+    let (mut checker, now) = checker(json!({}));
+    let upstream = upstream_spec(&checker);
+    checker.job_submitted(upstream);
+    checker.depends_on("wk-1", &["wk-2".to_owned()]);
+    checker.task_started(now, &attempt(0, "m-a"));
+    assert_eq!(rules(&checker), [Rule::TooEarly]);
+    checker.task_completed(&Attempt {
+        job: "wk-2".into(),
+        ..attempt(0, "m-b")
+    });
+    checker.task_started(now, &attempt(1, "m-a"));
+    assert_eq!(rules(&checker), [Rule::TooEarly]);
+}
+
 #[test]
 fn checker_sees_tasks_in_the_wrong_place() {
     let cases = [
@@ -199,6 +224,16 @@
         waiting.find_starved(later, &world).is_empty(),
         "reported twice"
     );
+    let upstream = upstream_spec(&world.checker);
+    world.checker.job_submitted(upstream);
+    world.checker.depends_on("wk-1", &["wk-2".to_owned()]);
+    let mut waiting_for_upstream = WaitingJobs::default();
+    waiting_for_upstream.find_starved(now, &world);
+    assert!(
+        waiting_for_upstream.find_starved(later, &world).is_empty(),
+        "reported before its upstream job is done"
+    );
+    world.checker.depends_on("wk-1", &[]);
     let too_large = world.jobs.get_mut("wk-1").expect("wk-1 is unknown");
     too_large.spec.gpus = 3.0;
     let mut waiting = WaitingJobs::default();
--- a/tests/soak/cluster.rs
+++ b/tests/soak/cluster.rs
@@ -142,8 +142,12 @@
 }
 
 impl Cluster {
-    /// Starts the services and the controllers.
-    pub async fn start(directory: &Path, max_machines: usize) -> Cluster {
+    /// Starts the services and the controllers, whose settings state this limit of the state store's request rate.
+    pub async fn start(
+        directory: &Path,
+        max_machines: usize,
+        store_requests_per_sec: f64,
+    ) -> Cluster {
         let ports = free_ports(2 * CONTROLLERS);
         let addr = |port: &u16| format!("127.0.0.1:{port}");
         let (http_ports, peer_ports) = ports.split_at(CONTROLLERS);
@@ -166,6 +170,7 @@
             gang_wait_timeout: GANG_WAIT_TIMEOUT,
             gang_peer_timeout: GANG_PEER_TIMEOUT,
             cancel_timeout: CANCEL_TIMEOUT,
+            store_requests_per_sec,
             max_value_kb: MAX_VALUE_KB,
         };
         for number in 0..CONTROLLERS {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,8 +12,11 @@
 mod faults;
 mod http;
 mod links;
+mod long_lists;
 mod options;
 mod peer_proxy;
+#[path = "../support/request_limit.rs"]
+mod request_limit;
 mod run;
 mod settings;
 mod starvation;
@@ -107,3 +110,13 @@
     let failed: Vec<u64> = failed.map(|verdict| verdict.seed).collect();
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
+
+/// Guards against failovers that never complete: more long dependency lists than requests a second, and a crash of all
+/// controllers.
+#[test]
+fn long_dependency_lists_survive_a_crash_of_all_controllers() {
+    let verdict = long_lists::run();
+    report(&verdict);
+    assert!(!verdict.has_failed(), "broken: {:?}", verdict.rules());
+    run::clean_up(&verdict.directory);
+}
--- a/tests/soak/run.rs
+++ b/tests/soak/run.rs
@@ -8,6 +8,7 @@
 use super::starvation::WaitingJobs;
 use super::users::{cancel, query_phase, User, USERS};
 use rand::seq::IteratorRandom;
+use std::future::Future;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -18,6 +19,8 @@
 /// How long jobs may take to end once there are no more faults. Teams at their limits need a while for their remaining
 /// jobs; starvation is checked meanwhile.
 const JOBS_END_TIMEOUT: Duration = Duration::from_secs(120);
+/// The state store's request rate limit in the settings. The store does not enforce it in these runs.
+const STORE_REQUESTS_PER_SEC: f64 = 2_000.0;
 /// The time between two kills of [`Fault::KillLeadersInSeries`].
 const LEADER_KILL_INTERVAL: Duration = Duration::from_millis(1_500);
 
@@ -52,12 +55,17 @@
 
 /// Runs one seed on a Tokio runtime of its own.
 pub fn run(seed: u64, options: &Options) -> Verdict {
+    on_runtime(run_seed(seed, options))
+}
+
+/// Runs a cluster on a Tokio runtime of its own.
+pub fn on_runtime(run: impl Future<Output = Verdict>) -> Verdict {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
         .build()
         .expect("failed to build a Tokio runtime");
-    let verdict = runtime.block_on(run_seed(seed, options));
+    let verdict = runtime.block_on(run);
     runtime.shutdown_background();
     verdict
 }
@@ -65,7 +73,7 @@
 async fn run_seed(seed: u64, options: &Options) -> Verdict {
     let name = format!("chalklug-soak-{}-{seed}", std::process::id());
     let directory = std::env::temp_dir().join(name);
-    let mut cluster = Cluster::start(&directory, options.machines).await;
+    let mut cluster = Cluster::start(&directory, options.machines, STORE_REQUESTS_PER_SEC).await;
     let schedule = draw(seed, CONTROLLERS, options.faults_for);
     let ticker = tokio::spawn(advance(cluster.shared.clone()));
     let stop = Arc::new(AtomicBool::new(false));
@@ -88,7 +96,7 @@
     verdict(seed, cluster, schedule, exited)
 }
 
-async fn advance(shared: Arc<Shared>) {
+pub async fn advance(shared: Arc<Shared>) {
     loop {
         shared.world().advance(Instant::now());
         tokio::time::sleep(POLL_INTERVAL).await;
@@ -96,7 +104,7 @@
 }
 
 /// Injects the scheduled faults. Returns the controllers that exited without being killed.
-async fn inject_faults(
+pub async fn inject_faults(
     cluster: &mut Cluster,
     schedule: &[PlannedFault],
     faults_for: Duration,
@@ -256,7 +264,7 @@
 }
 
 /// Ends all faults, and restarts or resumes all controllers.
-fn end_faults(cluster: &mut Cluster) {
+pub fn end_faults(cluster: &mut Cluster) {
     cluster.shared.links.clear_faults();
     cluster.shared.clear_message_faults();
     cluster.store.clear_faults();
@@ -266,7 +274,7 @@
 
 /// Waits until every accepted job has ended, for at most [`JOBS_END_TIMEOUT`], and cancels services. Then queries every
 /// job's status at every controller.
-async fn wait_for_jobs_to_end(shared: &Shared) {
+pub async fn wait_for_jobs_to_end(shared: &Shared) {
     let end = Instant::now() + JOBS_END_TIMEOUT;
     let mut waiting = WaitingJobs::default();
     while Instant::now() < end {
@@ -301,7 +309,8 @@
     }
 }
 
-fn verdict(
+/// Returns the result of a run.
+pub fn verdict(
     seed: u64,
     cluster: Cluster,
     schedule: Vec<PlannedFault>,
--- a/tests/soak/settings.rs
+++ b/tests/soak/settings.rs
@@ -20,6 +20,8 @@
     pub gang_wait_timeout: Duration,
     pub gang_peer_timeout: Duration,
     pub cancel_timeout: Duration,
+    /// The state store's request rate limit.
+    pub store_requests_per_sec: f64,
     /// Largest stored value, in kB. A small limit makes a small cluster need as many pages as a large one.
     pub max_value_kb: f64,
 }
@@ -54,7 +56,7 @@
         let _ = write!(
             text,
             "[facts.workers]\nreport_s = {:.2}\nlease_s = {:.2}\ngang_wait_s = {:.2}\ngang_peer_s = {:.2}\n\
-             cancel_s = {:.2}\n[facts.state]\nrps = 2000.0\nwrite_rps = 1000.0\nvalue_kb = {:.2}\ntxn_ops = 8\n\
+             cancel_s = {:.2}\n[facts.state]\nrps = {:.1}\nwrite_rps = 1000.0\nvalue_kb = {:.2}\ntxn_ops = 8\n\
              [facts.cloud]\nrps = 50.0\nlist_lag_s = {list_lag_s:.2}\n\
              [facts.quota]\ncores = 1.0\nmemory_mb = 500.0\nmax_sockets = 3000\n",
             secs(&self.heartbeat_interval),
@@ -62,6 +64,7 @@
             secs(&self.gang_wait_timeout),
             secs(&self.gang_peer_timeout),
             secs(&self.cancel_timeout),
+            self.store_requests_per_sec,
             self.max_value_kb,
         );
         text
--- a/tests/soak/starvation.rs
+++ b/tests/soak/starvation.rs
@@ -40,6 +40,9 @@
 
 /// Returns whether free capacity and the team's limit allow a task of the job, or a whole gang, to start now.
 fn could_start(now: Instant, world: &World, id: &str) -> bool {
+    if world.checker.is_blocked(id) {
+        return false;
+    }
     let job = &world.jobs[id];
     let spec = &job.spec;
     let live = world.live_tasks(id);
--- a/tests/soak/state_store.rs
+++ b/tests/soak/state_store.rs
@@ -4,6 +4,7 @@
 use super::faults::Link;
 use super::http::{serve, HttpRequest, HttpResponse};
 use super::links::{no_response, Delivery, Links};
+use super::request_limit::RequestLimit;
 use super::store_data::{query_parameter, StoreData};
 use rand::Rng;
 use serde_json::{json, Value};
@@ -47,6 +48,8 @@
 pub struct StateStore {
     data: Mutex<StoreData>,
     late_transactions: Mutex<Vec<LateTransaction>>,
+    /// None if requests are not limited.
+    limit: Mutex<Option<RequestLimit>>,
     faults: Mutex<StoreFaults>,
     links: Arc<Links>,
     controllers: usize,
@@ -57,6 +60,7 @@
         let store = Arc::new(StateStore {
             data: Mutex::default(),
             late_transactions: Mutex::default(),
+            limit: Mutex::default(),
             faults: Mutex::default(),
             links,
             controllers,
@@ -75,6 +79,17 @@
         .await
     }
 
+    /// Refuses requests above this rate with status 429 from now on.
+    pub fn limit_requests(&self, requests_per_sec: f64) {
+        let limit = RequestLimit::new(requests_per_sec);
+        *self.limit.lock().expect("limit lock poisoned") = Some(limit);
+    }
+
+    fn exceeds_limit(&self) -> bool {
+        let mut limit = self.limit.lock().expect("limit lock poisoned");
+        limit.as_mut().is_some_and(|limit| !limit.try_take())
+    }
+
     /// Refuses requests of these controllers for the given duration.
     pub fn refuse(&self, controllers: &[usize], duration: Duration) {
         let until = Instant::now() + duration;
@@ -150,6 +165,9 @@
         if self.links.deliver_request(link).await == Delivery::Lost {
             no_response().await;
         }
+        if self.exceeds_limit() {
+            return (429, json!({"error": "too many requests"}));
+        }
         if request.path.starts_with("/watch") {
             return self.watch(controller, &request.path).await;
         }
