New dependency lists delay neither the leader's view nor other polls

With many lists stored, new ones are seldom adjacent, so each needs a request, and these are paced. Change: PendingJobs holds opened jobs whose lists are still to be read. The view counts as refreshed once closed jobs are passed on. A poll that needs a pending job's dependencies gets 503, others are answered. An abandoned read goes on where it ended, as before.

--- a/src/runtime/clients/dependency_lists.rs
+++ b/src/runtime/clients/dependency_lists.rs
@@ -46,10 +46,16 @@
         if !missing.is_empty() {
             self.read_missing(state_store, missing).await?;
         }
+        Ok(self.known(requested.keys()))
+    }
+
+    /// Returns the cached dependency lists of these jobs.
+    pub fn known<'a>(&self, ids: impl IntoIterator<Item = &'a JobId>) -> ListsByJob {
         let by_job = lock(&self.by_job);
-        let cached = requested.keys();
-        let lists = cached.filter_map(|id| Some((id.clone(), by_job.get(id)?.clone())));
-        Ok(lists.collect())
+        let lists = ids
+            .into_iter()
+            .filter_map(|id| Some((id.clone(), by_job.get(id)?.clone())));
+        lists.collect()
     }
 
     fn without_list(&self, requested: &PagesByJob) -> PagesByJob {
--- a/src/runtime/clients/open_job_cache.rs
+++ b/src/runtime/clients/open_job_cache.rs
@@ -4,8 +4,10 @@
 //!
 //! Lookups are linearizable: each waits for a read that starts after the lookup, and never returns an older state.
 
-use super::dependency_lists::{DependencyList, ListsByJob};
-use super::open_job_records::{read_dependency_lists, OpenJobChanges, StoredOpenJob};
+use super::dependency_lists::DependencyList;
+use super::open_job_records::{
+    read_dependencies, OpenJobChanges, OpenJobWithDependencies, PendingJobs, StoredOpenJob,
+};
 use super::state_store::StateStoreError;
 use crate::ids::{JobId, KeyRevision, StoreRevision};
 use crate::protocol::state::KeyValue;
@@ -94,7 +96,7 @@
     let mut jobs = CachedJobs::default();
     loop {
         // The first list is needed at once: this controller can't campaign for the leadership without it.
-        if node.open_jobs.is_listed() {
+        if jobs.is_complete() {
             let requested = node.open_jobs.requested.notified();
             tokio::select! {
                 _ = node.stop.cancelled() => return,
@@ -104,11 +106,11 @@
         let lookups = node.open_jobs.take_pending();
         // The read is sent after these lookups were requested, so its result is linearizable for them.
         let outcome = jobs.update(&node).await;
-        if outcome.is_ok() {
+        if jobs.is_complete() {
             node.open_jobs.listed.store(true, Ordering::Relaxed);
         }
         for lookup in lookups {
-            let result = outcome.map(|()| jobs.open_job(&lookup.id));
+            let result = outcome.and_then(|()| jobs.open_job(&lookup.id));
             let _ = lookup.response.send(result);
         }
         tokio::select! {
@@ -133,53 +135,46 @@
         node: &Node,
         item: KeyValue,
     ) -> Result<Option<OpenJobSummary>, StateStoreError> {
-        let jobs = StoredOpenJob::parse_all(vec![item]);
-        let lists = read_dependency_lists(node, &jobs).await?;
-        Ok(jobs.first().and_then(|job| OpenJobSummary::of(job, &lists)))
+        let jobs = read_dependencies(node, StoredOpenJob::parse_all(vec![item])).await?;
+        Ok(jobs.into_iter().next().map(OpenJobSummary::of))
     }
 
-    /// Returns the summary of the job, whose dependency list is among `lists` if it is stored on pages. A record that
-    /// can't be parsed yields a summary without dependencies, since the job is open nevertheless. None if the job is no
-    /// longer open.
-    fn of(job: &StoredOpenJob, lists: &ListsByJob) -> Option<OpenJobSummary> {
-        let Some(record) = &job.record else {
-            return Some(OpenJobSummary::of_unreadable_record(
-                job.revision,
-                &job.data,
-            ));
-        };
-        let dependencies = match record.dependency_pages {
-            0 => record.upstream_jobs.as_slice().into(),
-            _ => lists.get(&job.id)?.clone(),
-        };
-        Some(OpenJobSummary {
+    /// A record that can't be parsed yields a summary without dependencies, since the job is open nevertheless.
+    fn of(open_job: OpenJobWithDependencies) -> OpenJobSummary {
+        let OpenJobWithDependencies { job, dependencies } = open_job;
+        OpenJobSummary {
             revision: job.revision,
-            tasks: record.spec.tasks,
+            tasks: job.record.map_or_else(
+                || tasks_of_unreadable_record(&job.data),
+                |record| record.spec.tasks,
+            ),
             dependencies,
-        })
-    }
-
-    fn of_unreadable_record(revision: KeyRevision, data: &Value) -> OpenJobSummary {
-        let tasks = data.pointer("/spec/pieces").and_then(Value::as_u64);
-        OpenJobSummary {
-            revision,
-            tasks: tasks.and_then(|n| u32::try_from(n).ok()).unwrap_or(1),
-            dependencies: DependencyList::default(),
         }
     }
 }
 
+fn tasks_of_unreadable_record(data: &Value) -> u32 {
+    let tasks = data.pointer("/spec/pieces").and_then(Value::as_u64);
+    tasks.and_then(|n| u32::try_from(n).ok()).unwrap_or(1)
+}
+
 /// The open jobs as of one store revision.
 #[derive(Default)]
 struct CachedJobs {
     open: BTreeMap<JobId, OpenJobSummary>,
+    /// Jobs that are open, and whose dependencies are not known yet.
+    pending: PendingJobs,
     /// None if all open jobs have to be listed again.
     store_revision: Option<StoreRevision>,
 }
 
 impl CachedJobs {
-    /// Reads the changes since the last update, or all open jobs. After a failure the store revision stays, so the same
-    /// changes are read again; the dependency lists that were read meanwhile are kept.
+    /// Whether all open jobs and their dependencies as of the store revision are known.
+    fn is_complete(&self) -> bool {
+        self.store_revision.is_some() && self.pending.is_empty()
+    }
+
+    /// Reads the changes since the last update, or all open jobs, and some of the dependency lists that are missing.
     async fn update(&mut self, node: &Node) -> Result<(), StateStoreError> {
         let since = match self.store_revision {
             Some(store_revision) => store_revision,
@@ -195,8 +190,13 @@
                 return Err(error);
             }
         };
-        self.apply(node, OpenJobChanges::parse(page.events)).await?;
+        self.apply(node, OpenJobChanges::parse(page.events));
         self.store_revision = Some(page.store_revision);
+        self.pending.read_lists(node).await;
+        for job in self.pending.take_known(&node.dependency_lists) {
+            let id = job.job.id.clone();
+            self.open.insert(id, OpenJobSummary::of(job));
+        }
         self.forget_closed_lists(node);
         Ok(())
     }
@@ -205,43 +205,39 @@
     /// since the pages of the list may be of different revisions.
     async fn list(&mut self, node: &Node) -> Result<StoreRevision, StateStoreError> {
         let (items, store_revision) = node.state_store.list(OPEN_JOB_PREFIX).await?;
-        let listed = StoredOpenJob::parse_all(items);
-        let lists = read_dependency_lists(node, &listed).await?;
         self.open.clear();
-        self.insert(listed, &lists);
+        self.pending = PendingJobs::default();
+        self.pending.add(StoredOpenJob::parse_all(items));
         Ok(store_revision)
     }
 
     /// Applies changes of open job records.
-    async fn apply(&mut self, node: &Node, changes: OpenJobChanges) -> Result<(), StateStoreError> {
+    fn apply(&mut self, node: &Node, changes: OpenJobChanges) {
         for id in &changes.closed {
             self.open.remove(id);
+            self.pending.remove(id);
             node.dependency_lists.remove(id);
         }
-        let lists = read_dependency_lists(node, &changes.opened).await?;
-        self.insert(changes.opened, &lists);
-        Ok(())
-    }
-
-    fn insert(&mut self, jobs: Vec<StoredOpenJob>, lists: &ListsByJob) {
-        for job in jobs {
-            let summary = OpenJobSummary::of(&job, lists);
-            self.open.extend(summary.map(|summary| (job.id, summary)));
-        }
+        self.pending.add(changes.opened);
     }
 
     /// Forgets the dependency lists of closed jobs. The leader may have read some after their jobs were closed here.
     fn forget_closed_lists(&self, node: &Node) {
         if node.dependency_lists.len() > self.open.len() {
-            let is_open = |id: &JobId| self.open.contains_key(id);
+            let is_open = |id: &JobId| self.open.contains_key(id) || self.pending.contains(id);
             node.dependency_lists.retain(is_open);
         }
     }
 
-    /// Returns the job with its closed upstream jobs. Each upstream job is visited once, even if several paths lead to
-    /// it.
-    fn open_job(&self, id: &JobId) -> Option<OpenJob> {
-        let summary = self.open.get(id)?;
+    /// Returns the job with its closed upstream jobs; None if it is not open. Fails while dependencies are unknown. Each
+    /// upstream job is visited once, even if several paths lead to it.
+    fn open_job(&self, id: &JobId) -> LookupResult {
+        if self.pending.contains(id) {
+            return Err(StateStoreError::NotExecuted);
+        }
+        let Some(summary) = self.open.get(id) else {
+            return Ok(None);
+        };
         let mut visited: BTreeSet<&JobId> = BTreeSet::new();
         let mut to_visit: Vec<&JobId> = summary.dependencies.iter().collect();
         let mut closed_upstream = Vec::new();
@@ -251,13 +247,16 @@
             }
             match self.open.get(upstream) {
                 Some(open) => to_visit.extend(open.dependencies.iter()),
+                None if self.pending.contains(upstream) => {
+                    return Err(StateStoreError::NotExecuted)
+                }
                 None => closed_upstream.push(upstream.clone()),
             }
         }
-        Some(OpenJob {
+        Ok(Some(OpenJob {
             revision: summary.revision,
             tasks: summary.tasks,
             closed_upstream,
-        })
+        }))
     }
 }
--- a/src/runtime/leader/job_watch.rs
+++ b/src/runtime/leader/job_watch.rs
@@ -7,7 +7,7 @@
 use crate::ids::StoreRevision;
 use crate::protocol::state::WatchResponse;
 use crate::runtime::clients::open_job_records::{
-    read_dependency_lists, OpenJobChanges, StoredOpenJob,
+    read_dependencies, OpenJobChanges, OpenJobWithDependencies, PendingJobs, StoredOpenJob,
 };
 use crate::runtime::clients::state_store::StateStoreError;
 use crate::runtime::{unix_time_ms, Node};
@@ -45,10 +45,10 @@
         store.list(INTENT_PAGE_PREFIX),
         store.get_persistently(HINTS_KEY),
     )?;
-    let open_jobs = StoredOpenJob::parse_all(open_jobs);
+    let open_jobs = read_dependencies(node, StoredOpenJob::parse_all(open_jobs)).await?;
     let recovered = RecoveredState {
         requested_at,
-        open_jobs: with_dependencies(node, open_jobs).await?,
+        open_jobs: to_open_jobs(node, open_jobs),
         progress_records,
         intent_pages,
         machine_pages,
@@ -59,26 +59,19 @@
     Ok((recovered, store_revision))
 }
 
-/// Returns the open jobs with their dependencies, also those that are stored on pages. Omits jobs that are no longer open,
-/// and unreadable records.
-async fn with_dependencies(
-    node: &Node,
-    jobs: Vec<StoredOpenJob>,
-) -> Result<Vec<OpenJob>, StateStoreError> {
-    let lists = read_dependency_lists(node, &jobs).await?;
-    let with_dependencies = |job: StoredOpenJob| {
+/// Converts open job records for the scheduler. Omits unreadable records.
+fn to_open_jobs(node: &Node, jobs: Vec<OpenJobWithDependencies>) -> Vec<OpenJob> {
+    let convert = |open_job: OpenJobWithDependencies| {
+        let OpenJobWithDependencies { job, dependencies } = open_job;
         let mut record = job.record?;
-        if record.dependency_pages > 0 {
-            let list = lists.get(&job.id)?;
-            record.upstream_jobs.extend(list.iter().cloned());
-        }
+        record.upstream_jobs = dependencies.to_vec();
         Some(OpenJob {
             submitted_at: submitted_at(node, &record),
             record,
             revision: job.revision,
         })
     };
-    Ok(jobs.into_iter().filter_map(with_dependencies).collect())
+    jobs.into_iter().filter_map(convert).collect()
 }
 
 fn submitted_at(node: &Node, record: &OpenJobRecord) -> Instant {
@@ -91,25 +84,38 @@
 /// `max_staleness` after that time at the latest.
 pub async fn run(term: TermContext, mut since: StoreRevision) {
     let node = &term.node;
-    let hold = node.config.leader.watch_hold;
     let timeout = node.config.leader.watch_timeout;
+    let mut pending = PendingJobs::default();
     while !term.end.is_cancelled() {
+        let hold = match pending.is_empty() {
+            true => node.config.leader.watch_hold,
+            false => TimeSpan::ZERO,
+        };
         let requested_at = node.now();
         let response = tokio::select! {
             _ = term.end.cancelled() => return,
             response = node.state_store.watch(OPEN_JOB_PREFIX, since, hold, timeout) => response,
         };
-        match apply_changes(node, response).await {
-            Ok(applied) => {
-                log_changes(node, since, &applied, requested_at);
-                since = applied.store_revision;
+        match response {
+            Ok(response) => {
+                log_changes(node, since, &response, requested_at);
+                since = response.store_revision;
+                apply_changes(node, OpenJobChanges::parse(response.events), &mut pending);
                 view_refreshed(&term, requested_at);
+                open_known_jobs(node, &mut pending);
+                if !pending.is_empty() {
+                    pending.read_lists(node).await;
+                    open_known_jobs(node, &mut pending);
+                }
                 tokio::time::sleep(WATCH_PAUSE).await;
             }
             Err(error) => {
                 tokio::time::sleep(WATCH_RETRY_PAUSE).await;
                 if may_have_missed_changes(error) {
-                    since = relist_open_jobs(&term, since, error).await.unwrap_or(since);
+                    if let Some(store_revision) = relist_open_jobs(&term, since, error).await {
+                        since = store_revision;
+                        pending = PendingJobs::default();
+                    }
                 }
             }
         }
@@ -124,44 +130,34 @@
     term.authority.view_refreshed(requested_at);
 }
 
-fn log_changes(node: &Node, since: StoreRevision, applied: &AppliedChanges, requested_at: Instant) {
+fn log_changes(node: &Node, since: StoreRevision, response: &WatchResponse, requested_at: Instant) {
     tracing::debug!(
         %since,
-        store_revision = %applied.store_revision,
+        store_revision = %response.store_revision,
         age_ms = (node.now() - requested_at).0,
-        changes = applied.change_count,
+        changes = response.events.len(),
         "open job changes received"
     );
 }
 
-/// The changes in a watch response that were passed to the scheduler.
-struct AppliedChanges {
-    store_revision: StoreRevision,
-    change_count: usize,
-}
-
-/// Passes the changes in a watch response to the scheduler. After a failure partway through, the same changes
-/// are read again, so the scheduler may receive a change twice.
-async fn apply_changes(
-    node: &Node,
-    response: Result<WatchResponse, StateStoreError>,
-) -> Result<AppliedChanges, StateStoreError> {
-    let mut response = response?;
-    let change_count = response.events.len();
-    let changes = OpenJobChanges::parse(std::mem::take(&mut response.events));
-    // Cancellations don't wait for the dependency lists of other jobs.
+/// Passes closed jobs to the scheduler, and adds opened ones to those whose dependencies have to be known first. The
+/// leader's view is complete then: only a closed job must not go on, and none of an opened job's tasks runs yet.
+fn apply_changes(node: &Node, changes: OpenJobChanges, pending: &mut PendingJobs) {
     for id in changes.closed {
+        pending.remove(&id);
         let closed = Event::JobClosed { id };
         node.leadership.handle_event(node.now(), closed);
     }
-    for job in with_dependencies(node, changes.opened).await? {
+    pending.add(changes.opened);
+}
+
+/// Passes those opened jobs to the scheduler whose dependencies are known.
+fn open_known_jobs(node: &Node, pending: &mut PendingJobs) {
+    let known = pending.take_known(&node.dependency_lists);
+    for job in to_open_jobs(node, known) {
         let opened = Event::JobOpened(Box::new(job));
         node.leadership.handle_event(node.now(), opened);
     }
-    Ok(AppliedChanges {
-        store_revision: response.store_revision,
-        change_count,
-    })
 }
 
 /// Whether the watch may have missed changes permanently.
@@ -183,7 +179,8 @@
     let requested_at = node.now();
     let (items, store_revision) = node.state_store.list(OPEN_JOB_PREFIX).await.ok()?;
     let listed = StoredOpenJob::parse_all(items);
-    let jobs = with_dependencies(node, listed).await.ok()?;
+    let jobs = read_dependencies(node, listed).await.ok()?;
+    let jobs = to_open_jobs(node, jobs);
     tracing::info!(
         ?reason,
         %since,
