Read pacing: no settings make a pause overflow

Cause: with an absurdly low facts.state.rps, which the settings' check allows, one second divided by the rate is more than a Duration holds: a panic on outside input. Change: the pauses of the paced reads are at most a second.

--- a/src/runtime/clients/read_pacer.rs
+++ b/src/runtime/clients/read_pacer.rs
@@ -16,6 +16,8 @@
 const REQUEST_RATE_SHARE: f64 = 0.3;
 /// How many seconds' worth of requests may be sent at once.
 const BURST_SECS: f64 = 1.0;
+/// The longest time between two looks at the budget, however low the rate is.
+const MAX_BUDGET_POLL_SECS: f64 = 1.0;
 /// Pause before a request that was refused for the rate limit is sent again, plus a random jitter of at most the same
 /// length. Doubled with each further refusal, up to the maximum.
 const FIRST_RETRY_PAUSE_MS: u64 = 100;
@@ -43,7 +45,8 @@
 
     /// Waits until the next request may be sent.
     pub async fn wait(&self) {
-        let spacing = Duration::from_secs_f64(1.0 / self.requests_per_sec);
+        let spacing_secs = (1.0 / self.requests_per_sec).min(MAX_BUDGET_POLL_SECS);
+        let spacing = Duration::from_secs_f64(spacing_secs);
         while !self.try_take() {
             tokio::time::sleep(spacing).await;
         }
--- a/src/runtime/leader/effects.rs
+++ b/src/runtime/leader/effects.rs
@@ -27,6 +27,8 @@
 /// The fraction of the state store's request rate limit that the leader's reads of terminal records use: a failover with
 /// many dependencies must not exhaust it.
 const TERMINAL_READ_RATE_SHARE: f64 = 0.5;
+/// The longest pause between two of these reads, however low the limit is.
+const MAX_TERMINAL_READ_SPACING_SECS: f64 = 1.0;
 /// Pause before a failed read is retried, plus a random jitter of at most the same length.
 const READ_RETRY_PAUSE_MS: u64 = 150;
 /// Timeout of a push.
@@ -126,7 +128,8 @@
     ids: Vec<JobId>,
 ) -> Option<Event> {
     let request_rate = node.policy.facts.state.effective().rps * TERMINAL_READ_RATE_SHARE;
-    let spacing = Duration::from_secs_f64(1.0 / request_rate);
+    let spacing_secs = (1.0 / request_rate).min(MAX_TERMINAL_READ_SPACING_SECS);
+    let spacing = Duration::from_secs_f64(spacing_secs);
     let mut records = Vec::new();
     for job in ids {
         let item = read_with_retry(node, authority, &terminal_key(&job)).await?;
