Soak checker: a test of its own for jobs that wait for upstream jobs

Change: the world that both need is made by a function; the new case also checks that the job is reported once its upstream job is done.

--- a/tests/soak/checker_sees.rs
+++ b/tests/soak/checker_sees.rs
@@ -186,10 +186,8 @@
     assert_eq!(rules(&checker), [Rule::NothingRan, Rule::LeftWaiting]);
 }
 
-/// Reports a job once if it waits for too long while a machine has free capacity, but not if the job needs more GPUs
-/// than its team's limit.
-#[test]
-fn checker_sees_a_job_that_waits_beside_room_for_it() {
+/// Returns a world in which job 1 waits beside a machine with free capacity for it.
+fn world_with_waiting_job() -> (World, Instant) {
     let (checker, now) = checker(json!({}));
     let times = WorkerTimes {
         lease: LEASE,
@@ -216,24 +214,25 @@
     world
         .checker
         .check_response("wk-1", response(now, 0, 201, "queued"));
+    (world, now)
+}
+
+/// Longer than a startable job may wait.
+const TOO_LONG: Duration = Duration::from_secs(19);
+
+/// Reports a job once if it waits for too long while a machine has free capacity, but not if the job needs more GPUs
+/// than its team's limit.
+#[test]
+fn checker_sees_a_job_that_waits_beside_room_for_it() {
+    let (mut world, now) = world_with_waiting_job();
     let mut waiting = WaitingJobs::default();
     assert!(waiting.find_starved(now, &world).is_empty());
-    let later = now + Duration::from_secs(19);
+    let later = now + TOO_LONG;
     assert_eq!(waiting.find_starved(later, &world), ["wk-1"]);
     assert!(
         waiting.find_starved(later, &world).is_empty(),
         "reported twice"
     );
-    let upstream = upstream_spec(&world.checker);
-    world.checker.job_submitted(upstream);
-    world.checker.depends_on("wk-1", &["wk-2".to_owned()]);
-    let mut waiting_for_upstream = WaitingJobs::default();
-    waiting_for_upstream.find_starved(now, &world);
-    assert!(
-        waiting_for_upstream.find_starved(later, &world).is_empty(),
-        "reported before its upstream job is done"
-    );
-    world.checker.depends_on("wk-1", &[]);
     let too_large = world.jobs.get_mut("wk-1").expect("wk-1 is unknown");
     too_large.spec.gpus = 3.0;
     let mut waiting = WaitingJobs::default();
@@ -243,3 +242,22 @@
         "reported above the team's limit"
     );
 }
+
+/// Reports no job that waits for its upstream job, and reports it once that is done.
+#[test]
+fn checker_sees_no_starvation_before_the_upstream_job_is_done() {
+    let (mut world, now) = world_with_waiting_job();
+    let upstream = upstream_spec(&world.checker);
+    world.checker.job_submitted(upstream);
+    world.checker.depends_on("wk-1", &["wk-2".to_owned()]);
+    let mut waiting = WaitingJobs::default();
+    let later = now + TOO_LONG;
+    waiting.find_starved(now, &world);
+    assert!(waiting.find_starved(later, &world).is_empty());
+    world.checker.task_completed(&Attempt {
+        job: "wk-2".into(),
+        ..attempt(0, "m-b")
+    });
+    waiting.find_starved(later, &world);
+    assert_eq!(waiting.find_starved(later + TOO_LONG, &world), ["wk-1"]);
+}
