Review case 8: a restarted controller calls running jobs queued

Change: a script that restarts one controller while five tasks run; it takes the place of the earlier case 8 (an empty machine kept for another class), which stays in the history with its script.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,12 +6,12 @@
 mod json;
 mod mistaken_size;
 mod nodes;
+mod queued_again;
 mod record;
 mod sick_machine;
 mod stalled_gang;
 mod store;
 mod users;
-mod warm_machine;
 mod wide_join;
 mod world;
 
@@ -35,7 +35,7 @@
         "wide_join" => (wide_join::site(), wide_join::run),
         "stalled_gang" => (stalled_gang::site(), stalled_gang::run),
         "mistaken_size" => (mistaken_size::site(), mistaken_size::run),
-        "warm_machine" => (warm_machine::site(), warm_machine::run),
+        "queued_again" => (queued_again::site(), queued_again::run),
         "sick_machine" => (sick_machine::site(), sick_machine::run),
         _ => {
             eprintln!("no case {name}");
